--- /dev/null
+++ b/standins/cloud.py
@@ -0,0 +1,110 @@
+"""Stand-in of the cloud: rents simulated machines, each with a worker of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tornado import web
+
+from .worker import Worker
+
+TYPE = {"name": "g4", "cpus": 32.0, "gpus": 4.0, "memGb": 256.0, "cacheGb": 60.0, "pullGbPerS": 100.0,
+        "hourly": 12.0, "spotPrice": 4.0, "bootS": 0.2, "halls": ["a", "b"]}
+
+
+class Cloud:
+    def __init__(self, controllers: list[tuple[str, str]], run_s: Callable[[str], float]) -> None:
+        self.controllers = controllers
+        self.run_s = run_s
+        self.machines: dict[str, tuple[dict[str, Any], Worker | None, float]] = {}
+        self.requests: dict[str, list[str]] = {}
+        self.capacity = 20
+        self.number = 0
+        self.down = False
+        self.report_s = 0.2
+        self.lease_s = 3.0
+
+    async def rent(self, body: dict[str, Any]) -> list[str] | None:
+        if body["hire"] in self.requests:
+            return self.requests[body["hire"]]
+        names = []
+        for _ in range(min(body["count"], self.capacity - len(self.machines))):
+            name = f"vm-{self.number:06d}"
+            self.number += 1
+            entry = {"ref": name, "rigType": body["rigType"], "hall": body["hall"], "loaner": body["loaner"],
+                     "endpoint": "127.0.0.1:1", "status": "booting"}
+            self.machines[name] = (entry, None, time.monotonic())
+            asyncio.get_running_loop().call_later(TYPE["bootS"], self._boot, name)
+            names.append(name)
+        if not names:
+            return None
+        self.requests[body["hire"]] = names
+        return names
+
+    def _boot(self, name: str) -> None:
+        if name not in self.machines:
+            return
+        entry, _, began = self.machines[name]
+        worker = Worker(entry, self.controllers, self.run_s, self.report_s, self.lease_s)
+        entry["status"] = "running"
+        self.machines[name] = (entry, worker, began)
+        worker.start()
+
+    def delete(self, names: list[str]) -> None:
+        for name in names:
+            found = self.machines.pop(name, None)
+            if found is not None and found[1] is not None:
+                found[1].kill()
+
+    def workers(self) -> list[Worker]:
+        return [w for _, w, _ in self.machines.values() if w is not None]
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, cloud: Cloud) -> None:
+        self.cloud = cloud
+
+    def prepare(self) -> None:
+        if self.cloud.down:
+            self.say(503, {"error": "trouble"})
+
+    def say(self, status: int, value: dict[str, Any]) -> None:
+        self.set_status(status)
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(value))
+
+
+class _Flavors(_Handler):
+    def get(self) -> None:
+        self.say(200, {"rigTypes": [TYPE]})
+
+
+class _Hosts(_Handler):
+    def get(self) -> None:
+        after = self.get_argument("after", "")
+        found = [{**entry, "ageS": time.monotonic() - began}
+                 for name, (entry, _, began) in sorted(self.cloud.machines.items()) if name > after]
+        self.say(200, {"rigs": found, "truncated": False})
+
+    async def post(self) -> None:
+        names = await self.cloud.rent(json.loads(self.request.body))
+        if names is None:
+            self.say(503, {"error": "no capacity"})
+        else:
+            self.say(200, {"rigs": names})
+
+
+class _Delete(_Handler):
+    def post(self) -> None:
+        self.cloud.delete(json.loads(self.request.body)["rigs"])
+        self.say(200, {})
+
+
+def application(cloud: Cloud) -> web.Application:
+    args = {"cloud": cloud}
+    return web.Application([(r"/flavors", _Flavors, args), (r"/hosts", _Hosts, args), (r"/hosts/delete", _Delete, args)],
+                           log_function=lambda handler: None)
--- /dev/null
+++ b/standins/worker.py
@@ -0,0 +1,115 @@
+"""Stand-in of a worker: reports, obeys tokens and sessions, runs tasks for as long as it is told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tornado import web
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+
+
+class Worker:
+    def __init__(self, entry: dict[str, Any], controllers: list[tuple[str, str]], run_s: Callable[[str], float],
+                 report_s: float, lease_s: float) -> None:
+        self.entry = entry
+        self.controllers = controllers
+        self.run_s = run_s
+        self.report_s, self.lease_s = report_s, lease_s
+        self.session, self.seq, self.token = 1, 0, 0
+        self.answered = time.monotonic()
+        self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
+        self.starts: list[tuple[float, str]] = []  # what began to run here, and when
+        self.mute = False  # a worker whose machine hangs
+        self._loop: asyncio.Task | None = None
+        self._server: HTTPServer | None = None
+
+    def start(self) -> None:
+        sockets = bind_sockets(0, "127.0.0.1")
+        self._server = HTTPServer(web.Application([(r"/commands", _Commands, {"worker": self})],
+                                                  log_function=lambda handler: None))
+        self._server.add_sockets(sockets)
+        self.entry["endpoint"] = f"127.0.0.1:{sockets[0].getsockname()[1]}"
+        self._loop = asyncio.ensure_future(self._run())
+
+    def kill(self) -> None:
+        self.tasks.clear()
+        if self._loop:
+            self._loop.cancel()
+        if self._server:
+            self._server.stop()
+
+    def report(self) -> dict[str, Any]:
+        self.seq += 1
+        now = time.monotonic()
+        for task in self.tasks.values():
+            if task["status"] == "running" and now >= task["ends"]:
+                task["status"], task["exitCause"] = "ended", "done"
+        pieces = [{k: v for k, v in t.items() if k != "ends"} for t in self.tasks.values()]
+        return {"rig": self.entry["ref"], "endpoint": self.entry["endpoint"], "rigType": self.entry["rigType"],
+                "hall": self.entry["hall"], "loaner": self.entry["loaner"], "shift": self.session, "tick": self.seq,
+                "baton": self.token, "recallS": None, "pieces": pieces}
+
+    def obey(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["piece"], order["tryNo"])
+            if order["verb"] == "run" and key not in self.tasks:
+                self.starts.append((time.monotonic(), order["piece"]))
+                self.tasks[key] = {"piece": key[0], "tryNo": key[1], "status": "running",
+                                   "ends": time.monotonic() + self.run_s(key[0])}
+            elif order["verb"] == "halt" and key in self.tasks and self.tasks[key]["status"] != "ended":
+                self.tasks[key].update(status="ended", exitCause="halted")
+            elif order["verb"] == "reap" and key in self.tasks and self.tasks[key]["status"] == "ended":
+                del self.tasks[key]
+
+    async def _run(self) -> None:
+        client = AsyncHTTPClient()
+        at = 0
+        while True:
+            now = time.monotonic()
+            if now - self.answered > self.lease_s:
+                self.tasks.clear()
+                self.session += 1
+                self.answered = now
+            if self.mute or not self.controllers:
+                await asyncio.sleep(self.report_s)
+                continue
+            sent = time.monotonic()
+            name, addr = self.controllers[at % len(self.controllers)]
+            try:
+                reply = await client.fetch(f"http://{addr}/v1/report", method="POST", body=json.dumps(self.report()),
+                                           request_timeout=1.0, connect_timeout=0.3, raise_error=False)
+            except OSError:
+                at += 1
+                continue
+            body = json.loads(reply.body) if reply.body else {}
+            if reply.code == 200:
+                if body.get("baton", 0) >= self.token:
+                    self.token = body["baton"]
+                    self.answered = sent
+                    self.obey(body["orders"])
+            else:
+                names = [n for n, _ in self.controllers]
+                target = body.get("reportsTo") if reply.code == 421 else None
+                at = names.index(target) if target in names and target != name else at + 1
+            await asyncio.sleep(self.report_s)
+
+
+class _Commands(web.RequestHandler):
+    def initialize(self, worker: Worker) -> None:
+        self.worker = worker
+
+    def post(self) -> None:
+        body = json.loads(self.request.body)
+        worker = self.worker
+        good = body["baton"] >= worker.token and body["shift"] == worker.session
+        if good:
+            worker.token = body["baton"]
+            worker.obey(body["orders"])
+        self.set_status(200 if good else 409)
+        self.finish(json.dumps(worker.report()))
--- /dev/null
+++ b/tests/test_picture.py
@@ -0,0 +1,240 @@
+"""The leader's picture under generated histories: records, reports late and lost, stops, deletions."""
+
+from __future__ import annotations
+
+from helpers import TYPE, settings, spec
+from hypothesis import settings as hsettings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from winglift.model.leadership import Leadership, Role, RoleEvent
+from winglift.model.picture import Picture
+from winglift.model.task import TRANSITIONS, TaskEvent, TaskState, WrongEvent, next_state
+from winglift.store import records
+from winglift.store.batcher import pack
+from winglift.wire import workers as w
+from winglift.wire.users import Kind
+
+
+class FakeWorker:
+    """What a machine really does, independent of the leader's picture."""
+
+    def __init__(self, name: str, zone: str, spot: bool) -> None:
+        self.name, self.zone, self.spot = name, zone, spot
+        self.session, self.seq, self.token = 1, 0, 0
+        self.tasks: dict[tuple[str, int], str] = {}
+
+    def report(self) -> w.Report:
+        self.seq += 1
+        pieces = [w.TaskReport(name, attempt, w.Phase.EXITED if state != "running" else w.Phase.RUNNING,
+                               state if state != "running" else None) for (name, attempt), state in self.tasks.items()]
+        return w.Report(machine=self.name, addr="127.0.0.1:1", type="g4", zone=self.zone, spot=self.spot,
+                        session=self.session, seq=self.seq, token=self.token, tasks=pieces)
+
+    def obey(self, token: int, commands: list[w.Command]) -> list[str]:
+        started = []
+        if token < self.token:
+            return started
+        self.token = token
+        for command in commands:
+            key = (command.task, command.attempt)
+            if command.op == "run" and key not in self.tasks:
+                self.tasks[key] = "running"
+                started.append(command.task)
+            elif command.op == "halt" and self.tasks.get(key) == "running":
+                self.tasks[key] = "halted"
+            elif command.op == "reap" and self.tasks.get(key) not in (None, "running"):
+                del self.tasks[key]
+        return started
+
+
+class Histories(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now, self.version = 0.0, 10
+        self.store: dict[str, tuple[int, records.JobRecord]] = {}
+        self.workers = {f"vm-{i}": FakeWorker(f"vm-{i}", "ab"[i % 2], i > 1) for i in range(4)}
+        self.late: list[w.Report] = []
+        self.term = 1
+        self.takeover()
+
+    def takeover(self) -> None:
+        self.picture = Picture(settings(), {"g4": TYPE}, self.term)
+        for ref, (version, record) in self.store.items():
+            self.picture.apply_record(ref, version, record, self.now)
+
+    def put(self, ref: str, record: records.JobRecord) -> int:
+        self.version += 1
+        self.store[ref] = (self.version, record)
+        return self.version
+
+    @rule(kind=st.sampled_from([Kind.ARRAY, Kind.SERVICE, Kind.GANG]), tasks=st.integers(1, 3),
+          spot=st.booleans(), one_zone=st.booleans(), team=st.sampled_from(["red", "blue"]))
+    def submit(self, kind, tasks, spot, one_zone, team):
+        if len(self.store) < 5:
+            ref = f"wk-{len(self.store)}"
+            record = records.fresh(spec(ref, kind=kind, tasks=tasks, spot=spot, one_zone=one_zone, team=team, gpus=2.0,
+                                        spread=kind is Kind.SERVICE), 0.0)
+            self.picture.apply_record(ref, self.put(ref, record), record, self.now)
+
+    @rule(data=st.data())
+    def place(self, data):
+        jobs = [j for j in self.picture.jobs.values() if j.waiting_tasks(9) and not (j.kind is Kind.GANG and j.active)]
+        machines = list(self.picture.machines.values())
+        if jobs and machines:
+            job = data.draw(st.sampled_from(jobs))
+            self.picture.propose(job, [(i, data.draw(st.sampled_from(machines))) for i in job.waiting_tasks(9)], self.now)
+
+    @rule(lost=st.booleans(), answered=st.booleans())
+    def commit(self, lost, answered):
+        for job in list(self.picture.jobs.values()):
+            if not job.dirty:
+                continue
+            record = pack(job)
+            if lost or self.store[job.ref][0] != job.version:
+                self.picture.apply_record(job.ref, *self.store[job.ref], self.now)
+                continue
+            job.dirty = 0
+            version = self.put(job.ref, record)
+            if answered:
+                self.picture.committed(job, version, record, self.now)
+            else:
+                self.picture.apply_record(job.ref, version, record, self.now)
+
+    @rule(name=st.sampled_from(["vm-0", "vm-1", "vm-2", "vm-3"]), arrives=st.booleans(), answered=st.booleans())
+    def report(self, name, arrives, answered):
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        self.now += 1.0
+        report = worker.report()
+        if not arrives:
+            self.late.append(report)
+            return
+        self.deliver(worker, report, answered)
+
+    def deliver(self, worker, report, answered):
+        commands = self.picture.on_report(report, self.now)
+        if commands is None:
+            return
+        machine = self.picture.machines[report.machine]
+        if report.token == self.term:
+            commands = commands + self.picture.orders(machine, report, self.now)
+        if answered and (report.session, report.seq) == (worker.session, worker.seq):
+            for task in worker.obey(self.term, commands):
+                ref, _, index = task.partition("/")
+                # Invariant 2: the committed record names this machine before the start.
+                assert records.unpack(self.store[ref][1]).places[int(index)][0] == worker.name
+                elsewhere = [o.name for o in self.workers.values() if o is not worker
+                             for (t, _), state in o.tasks.items() if t == task and state == "running"]
+                assert not elsewhere, f"{task} runs on {elsewhere} and starts on {worker.name}"
+
+    @rule()
+    def late_report(self):
+        if self.late:
+            report = self.late.pop(0)
+            worker = self.workers.get(report.machine)
+            if worker is not None:
+                self.deliver(worker, report, False)
+
+    @rule(name=st.sampled_from(["vm-0", "vm-1", "vm-2", "vm-3"]), end=st.sampled_from(["done", "error"]))
+    def finish(self, name, end):
+        worker = self.workers.get(name)
+        for key, state in list(worker.tasks.items()) if worker else []:
+            if state == "running":
+                worker.tasks[key] = end
+                break
+
+    @rule(name=st.sampled_from(["vm-0", "vm-1", "vm-2", "vm-3"]))
+    def lease_ends(self, name):
+        worker = self.workers.get(name)
+        if worker is not None:
+            worker.tasks.clear()
+            worker.session += 1
+
+    @rule(name=st.sampled_from(["vm-2", "vm-3"]))
+    def delete(self, name):
+        worker = self.workers.pop(name, None)
+        if worker is not None and name in self.picture.machines:
+            self.picture.machine_gone(self.picture.machines[name], self.now)
+
+    @rule(data=st.data())
+    def cancel(self, data):
+        if self.store:
+            ref = data.draw(st.sampled_from(sorted(self.store)))
+            _, record = self.store[ref]
+            if record.state == "o":
+                copy = records.decode(records.encode(record))
+                copy.state = "c"
+                self.picture.apply_record(ref, self.put(ref, copy), copy, self.now)
+
+    @rule()
+    def another_leads(self):
+        self.term += 1
+        self.takeover()
+
+    @invariant()
+    def books_are_right(self):
+        for team in ("red", "blue"):
+            held = [t for j in self.picture.jobs.values() for t in j.active.values() if j.spec.team == team]
+            assert abs(self.picture.ledger.used[team].gpus - sum(t.job.spec.gpus for t in held)) < 1e-6
+            really = sum(2.0 for o in self.workers.values() for (t, _), s in o.tasks.items()
+                         if s == "running" and self.store[t.partition("/")[0]][1].spec.team == team)
+            assert really <= 10.0
+        for job in self.picture.jobs.values():
+            for task in job.active.values():
+                assert task.machine.tasks[job.ref, task.index] is task
+
+    @invariant()
+    def places_are_allowed(self):
+        running: dict[str, list[FakeWorker]] = {}
+        for worker in self.workers.values():
+            for (task, _), state in worker.tasks.items():
+                if state == "running":
+                    running.setdefault(task.partition("/")[0], []).append(worker)
+        for ref, where in running.items():
+            job = self.store[ref][1].spec
+            assert job.spot or not any(o.spot for o in where)
+            if job.one_zone:
+                assert len({o.zone for o in where}) == 1
+            if job.spread:
+                assert all([o.zone for o in where].count(z) <= (job.tasks + 1) // 2 for z in "ab")
+
+
+TestHistories = Histories.TestCase
+TestHistories.settings = hsettings(max_examples=150, stateful_step_count=50, deadline=None, derandomize=True)
+
+
+def test_every_task_state_can_end_and_gone_is_final():
+    for state in TaskState:
+        if state is TaskState.GONE:
+            for event in TaskEvent:
+                try:
+                    next_state(state, event)
+                except WrongEvent:
+                    continue
+                raise AssertionError(f"GONE allows {event}")
+        else:
+            assert (state, TaskEvent.MACHINE_GONE) in TRANSITIONS
+
+
+def test_no_start_leaves_before_its_commit():
+    assert next_state(TaskState.COMMITTED, TaskEvent.SEND) is TaskState.SENT
+    for state in TaskState:
+        if state is not TaskState.COMMITTED:
+            assert (state, TaskEvent.SEND) not in TRANSITIONS
+
+
+def test_a_leader_in_doubt_decides_nothing():
+    me = Leadership()
+    me.move(RoleEvent.CAMPAIGN)
+    me.move(RoleEvent.WON)
+    me.extend(100.0, 3.0)
+    assert me.entitled(102.0) and not me.entitled(103.0)
+    me.move(RoleEvent.OVERDUE)
+    assert me.role is Role.DOUBTFUL and not me.entitled(101.0)
+    me.move(RoleEvent.RENEWED)
+    assert me.entitled(101.0)
+    me.move(RoleEvent.LOST)
+    me.move(RoleEvent.RENEWED)
+    assert me.role is Role.FOLLOWER
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,161 @@
+"""The split and the plan as properties over generated snapshots."""
+
+from __future__ import annotations
+
+import pytest
+from helpers import TYPE, settings, spec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from winglift.model.teams import Ledger
+from winglift.net.budget import Budget
+from winglift.policy import plan as p
+from winglift.policy.split import split_deadline, sub_deadline
+from winglift.wire.users import Kind, Priority
+
+
+@st.composite
+def dags(draw):
+    count = draw(st.integers(1, 7))
+    steps = [str(i) for i in range(count)]
+    slow = {s: draw(st.floats(1, 100)) for s in steps}
+    fast = {s: slow[s] / 2 for s in steps}
+    parents = {s: draw(st.lists(st.sampled_from(steps[:i]), unique=True)) if i else [] for i, s in enumerate(steps)}
+    return slow, fast, parents
+
+
+@given(dags(), st.floats(1, 2000))
+def test_sub_deadlines_follow_the_order_of_steps_and_end_at_the_deadline(dag, due):
+    slow, fast, parents = dag
+    result = split_deadline([slow, fast], parents, 10.0, 10.0 + due)
+    for step, before in parents.items():
+        for parent in before:
+            assert result[parent] <= result[step] + 1e-6
+        assert result[step] >= 10.0 + fast[step] - 1e-6
+    latest = max(result.values())
+    assert latest <= 10.0 + due + 1e-6 or all(result[s] >= fast[s] for s in result)
+
+
+def test_spare_time_goes_in_proportion_to_run_time():
+    result = split_deadline([{"a": 10.0, "b": 30.0}], {"b": ["a"]}, 0.0, 80.0)
+    assert result == {"a": pytest.approx(20.0), "b": pytest.approx(80.0)}
+
+
+def test_an_early_end_gives_later_steps_more_time():
+    result = split_deadline([{"a": 10.0, "b": 30.0}], {"b": ["a"]}, 0.0, 80.0, known={"a": 5.0})
+    assert result == {"a": 5.0, "b": pytest.approx(80.0)}
+
+
+def test_a_circle_is_an_error():
+    with pytest.raises(ValueError, match="circle"):
+        split_deadline([{"a": 1.0, "b": 1.0}], {"a": ["b"], "b": ["a"]}, 0.0, 5.0)
+
+
+def test_without_a_deadline_a_job_is_due_now():
+    assert sub_deadline(100.0, None, 60.0) == 100.0
+    assert sub_deadline(100.0, 300.0, 60.0) == 400.0
+
+
+@st.composite
+def snapshots(draw):
+    rooms = []
+    for i in range(draw(st.integers(0, 6))):
+        used = draw(st.integers(0, 4))
+        rooms.append(p.Room(f"m{i}", TYPE, draw(st.sampled_from("ab")), draw(st.booleans()), 32 - 5.0 * used, 4.0 - used,
+                            256 - 20.0 * used, ready_in=draw(st.sampled_from([0.0, 0.0, 20.0])), empty=used == 0,
+                            victims=[p.Victim(f"wk-9{i}", n, draw(st.integers(0, 2)), "blue", 5.0, 1.0, 20.0, 3.0, 1)
+                                     for n in range(used)]))
+    needs = []
+    for i in range(draw(st.integers(0, 5))):
+        kind = draw(st.sampled_from(list(Kind)))
+        tasks = draw(st.integers(1, 6))
+        zone = draw(st.sampled_from([None, "a"]))
+        job = spec(f"wk-{i}", kind=kind, tasks=tasks, team=draw(st.sampled_from(["red", "blue"])),
+                   gpus=draw(st.sampled_from([1.0, 2.0])), priority=draw(st.sampled_from(list(Priority))),
+                   one_zone=kind is Kind.GANG and draw(st.booleans()), spread=kind is Kind.SERVICE, zone=zone,
+                   spot=draw(st.booleans()), due_s=draw(st.sampled_from([None, 100.0, 500.0])))
+        needs.append(p.Need(job.ref, job, list(range(tasks)), 1000.0 + draw(st.floats(-100, 500)), 60.0, {},
+                            within=draw(st.booleans())))
+    ledger = Ledger({t.name: t for t in settings().settings.teams})
+    return p.Snapshot(1000.0, rooms, needs, ledger, {"g4": TYPE}, set())
+
+
+@given(snapshots())
+def test_a_plan_keeps_every_rule(snap):
+    free = {r.name: (r.cpus, r.gpus, r.memory_gb, r) for r in snap.rooms}
+    needs = {n.ref: n for n in snap.needs}
+    plan = p.make_plan(snap)
+    team_gpus: dict[str, float] = {}
+    started = set()
+    for ref, places in plan.starts:
+        need = needs[ref]
+        zones: dict[str, int] = {}
+        assert ref not in started
+        started.add(ref)
+        for index, name in places:
+            assert index in need.indices
+            cpus, gpus, mem, room = free[name]
+            assert room.ready_in == 0
+            assert (need.spec.spot or not room.spot) and need.spec.zone in (None, room.zone)
+            free[name] = (cpus - need.spec.cpus, gpus - need.spec.gpus, mem - need.spec.memory_gb, room)
+            assert min(free[name][:3]) >= -1e-6
+            zones[room.zone] = zones.get(room.zone, 0) + 1
+            team_gpus[need.spec.team] = team_gpus.get(need.spec.team, 0) + need.spec.gpus
+        if need.spec.kind is Kind.GANG:
+            assert len(places) == len(need.indices)
+        if need.spec.one_zone:
+            assert len(zones) == 1
+        if need.spec.spread:
+            assert max(zones.values()) <= (need.spec.tasks + 1) // 2
+    assert all(gpus <= 10 for gpus in team_gpus.values())
+    stopped = {(ref, index) for ref, index, _ in plan.stops}
+    assert len(stopped) == len(plan.stops)
+    ranks = {(v.ref, v.index): v.rank for r in snap.rooms for v in r.victims}
+    for ref, index, whom in plan.stops:
+        higher = needs[whom].spec.priority.rank > ranks[ref, index]
+        owed = needs[whom].within and needs[whom].spec.team != "blue"
+        assert higher or owed
+
+
+def room(name, zone="a", **changes):
+    return p.Room(name, TYPE, zone, False, 32.0, 4.0, 256.0, **changes)
+
+
+def snapshot(rooms, needs):
+    return p.Snapshot(1000.0, rooms, needs, Ledger({t.name: t for t in settings().settings.teams}), {"g4": TYPE}, set())
+
+
+def test_the_earliest_sub_deadline_goes_first():
+    one = [room("m", images={"img"})]
+    one[0].gpus = 1.0
+    late, soon = (p.Need(f"wk-{i}", spec(f"wk-{i}", tasks=1, due_s=900.0), [0], due, 60.0, {})
+                  for i, due in ((1, 1900.0), (2, 1500.0)))
+    assert p.make_plan(snapshot(one, [late, soon])).starts == [("wk-2", [(0, "m")])]
+
+
+def test_a_machine_with_the_image_is_preferred():
+    need = p.Need("wk-1", spec("wk-1", tasks=1), [0], 1000.0, 60.0, {})
+    assert p.make_plan(snapshot([room("m1"), room("m2", images={"img"})], [need])).starts == [("wk-1", [(0, "m2")])]
+
+
+def test_a_task_waits_while_its_slack_allows_and_is_rented_for_after():
+    job = spec("wk-1", tasks=1, due_s=900.0)
+    patient = p.make_plan(snapshot([], [p.Need("wk-1", job, [0], 1500.0, 60.0, {})]))
+    assert patient.rentals == [] and patient.waiting["wk-1"] == "slack"
+    due = p.make_plan(snapshot([], [p.Need("wk-1", job, [0], 1100.0, 60.0, {})]))
+    assert [(r.type, r.spot) for r in due.rentals] == [("g4", False)]
+
+
+def test_booting_machines_are_counted_before_more_are_rented():
+    need = p.Need("wk-1", spec("wk-1", tasks=4), [0, 1, 2, 3], 1000.0, 60.0, {})
+    assert p.make_plan(snapshot([room("m", ready_in=20.0)], [need])).rentals == []
+
+
+@given(st.lists(st.tuples(st.floats(0, 1), st.floats(0.5, 3)), max_size=40))
+def test_a_budget_is_never_overdrawn(steps):
+    budget, now, spent = Budget(5.0, 5.0), 0.0, 0.0
+    for pause, amount in steps:
+        now += pause
+        if budget.take(now, amount):
+            spent += amount
+        assert spent <= 5.0 + 5.0 * now + 1e-6
