Prefer the image to zone balance; a team's lower work gives way at its limit

Cause: services missed their start for image fetches of 6 to 11 s though other machines held the image, and one waited 26 s behind its own team's array at the team's limit.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -167,6 +167,17 @@
     assert p.make_plan(snapshot([one], needs)).starts == [("wk-2", [(0, "m")])]
 
 
+def test_a_teams_own_lower_work_gives_way_under_its_limit():
+    """A service once waited 26 s behind its own team's array, which filled the team's limit."""
+    busy = room("m1")
+    busy.gpus = 0.0
+    busy.victims = [p.Victim("wk-8", n, 1, "red", 5.0, 1.0, 20.0, 3.0, 1) for n in range(4)]
+    job = spec("wk-1", tasks=1, kind=Kind.SERVICE, priority=Priority.PRODUCTION)
+    snap = snapshot([busy, room("m2")], [p.Need("wk-1", job, [0], 1000.0, 0.0, {})])
+    snap.ledger.add(spec(), 10)
+    assert len(p.make_plan(snap).stops) == 1
+
+
 def test_booting_machines_are_counted_before_more_are_rented():
     need = p.Need("wk-1", spec("wk-1", tasks=4), [0, 1, 2, 3], 1000.0, 60.0, {})
     assert p.make_plan(snapshot([room("m", ready_in=20.0)], [need])).rentals == []
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -70,6 +70,7 @@
 CYCLE_S = 0.15  # s; the scheduling cycle: far below any start aim, cheap enough for half a core
 IDLE_CYCLE_S = 1.0  # s; at least this often, even when nothing has changed
 ESTIMATE_PAD = 1.25  # ratio; owners' estimates are often wrong by a third or more
+FETCH_WEIGHT = 10.0  # ratio; how much worse a second of fetching is than one of repeated work, for work due now
 SLACK_PAD = 1.5  # ratio; how much longer than estimated a task may run when it is decided to wait
 IDLE_KEEP_S = 12.0  # s; an idle machine past its first paid stretch is kept this long
 RESERVE_WINDOW_S = 300.0  # s; arrivals this recent size the warm reserve
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -265,10 +265,19 @@
                 need = self._need(job, now, wall, job.ref in within)
                 if need is not None:
                     needs.append(need)
+        stopping_gpus: dict[str, float] = {}
+        stopping_cpus: dict[str, float] = {}
+        for machine in picture.machines.values():
+            for task in machine.tasks.values():
+                if task.stopping:
+                    team, spec = task.job.spec.team, task.job.spec
+                    stopping_gpus[team] = stopping_gpus.get(team, 0.0) + spec.gpus
+                    stopping_cpus[team] = stopping_cpus.get(team, 0.0) + spec.cpus
         lag = self.settings.settings.cloud.list_lag_s
         return policy.Snapshot(
             now=wall, rooms=rooms, needs=needs, ledger=picture.ledger, types=self.types,
             refused=self.inventory.refused_now(now), reserves=self._reserves(wall),
+            stopping_gpus=stopping_gpus, stopping_cpus=stopping_cpus,
             # What an earlier leader rented shows up in the list only after its lag.
             may_rent=self.inventory.listed_once and now - self.began > lag * c.GRACE_AFTER_TAKEOVER,
         )
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -121,7 +121,8 @@
     refused: set[tuple[str, str, bool]]  # type, zone, spot: recently without capacity
     reserves: list[Reserve] = field(default_factory=list)
     may_rent: bool = True
-    machines_per_zone: dict[str, int] = field(default_factory=dict)
+    stopping_gpus: dict[str, float] = field(default_factory=dict)  # per team, of tasks being stopped
+    stopping_cpus: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -154,7 +155,7 @@
         self.coming = sorted((r for r in self.rooms if r.ready_in > 0), key=lambda r: r.ready_in)
         self.budget: dict[str, tuple[float, float]] = {}  # team: tasks by amounts already given in this cycle
         self.stopped: set[tuple[str, int]] = set()
-        self.per_zone = dict(snap.machines_per_zone)
+        self.per_zone: dict[str, int] = {}
         for room in self.rooms:
             self.per_zone[room.zone] = self.per_zone.get(room.zone, 0) + 1
 
@@ -185,8 +186,8 @@
             fetch = fetch_s(room, spec)
             end = now + room.ready_in + fetch + need.run_s
             late = end > need.sub_deadline and spec.due_s is not None
-            key = (late, room.ready_in > 0 and room.ready_in, placed.get(room.zone, 0) if spec.spread else 0,
-                   fetch > 0, spec.spot and not room.spot, room.gpus - spec.gpus, room.cpus, end)
+            key = (late, room.ready_in > 0 and room.ready_in, fetch > 0, placed.get(room.zone, 0) if spec.spread else 0,
+                   spec.spot and not room.spot, room.gpus - spec.gpus, room.cpus, end)
             if best_key is None or key < best_key:
                 best, best_key = room, key
         return best
@@ -224,18 +225,16 @@
             chosen = self._victims(need, room)
             if not chosen:
                 continue
-            cost = (max(v.rank for v in chosen), sum(v.lost_s * v.group for v in chosen) + fetch_s(room, need.spec))
+            # A fetch makes production work late; others it costs no more than the time itself.
+            fetch = fetch_s(room, need.spec) * (c.FETCH_WEIGHT if need.spec.due_s is None else 1.0)
+            cost = (max(v.rank for v in chosen), sum(v.lost_s * v.group for v in chosen) + fetch)
             if best is None or cost < best[0]:
                 best = (cost, room, chosen)
         if best is None:
             return None
         _, room, chosen = best
         for victim in chosen:
-            self.stopped.add((victim.ref, victim.index))
-            self.plan.stops.append((victim.ref, victim.index, need.ref))
-            room.soon[0] += victim.cpus
-            room.soon[1] += victim.gpus
-            room.soon[2] += victim.memory_gb
+            self._stop(victim, room, need)
         return room
 
     def _rent(self, need: Need, placed: dict[str, int]) -> Room | None:
@@ -293,6 +292,7 @@
         must = self.must_start(need)
         for index in need.indices:
             if room_left <= 0:
+                self._make_team_room(need, len(need.indices) - need.indices.index(index))
                 self.plan.waiting[need.ref] = "team limit"
                 break
             room = None if blocked_up else self._best(need, self.up, placed)
@@ -346,6 +346,31 @@
                 most = min(most, math.floor((cap - has + EPS) / want))
         return max(0, most)
 
+    def _make_team_room(self, need: Need, tasks: int) -> None:
+        """A team's own work of lower priority gives way when the team's limit leaves no room."""
+        spec = need.spec
+        mine = [(v, r) for r in self.up for v in r.victims
+                if v.team == spec.team and v.rank < spec.priority.rank and (v.ref, v.index) not in self.stopped]
+        mine.sort(key=lambda pair: (pair[0].rank, pair[0].lost_s * pair[0].group))
+        soon = self.snap.stopping_gpus.get(spec.team, 0.0), self.snap.stopping_cpus.get(spec.team, 0.0)
+        team = self.snap.ledger.teams[spec.team]
+        used = self.snap.ledger.used[spec.team]
+        gpus = used.gpus + spec.gpus * tasks - team.gpus_max - soon[0] if team.gpus_max > 0 else 0.0
+        cpus = used.cpus + spec.cpus * tasks - team.cpus_max - soon[1] if team.cpus_max > 0 else 0.0
+        for victim, room in mine:
+            if gpus <= EPS and cpus <= EPS:
+                return
+            self._stop(victim, room, need)
+            gpus -= victim.gpus
+            cpus -= victim.cpus
+
+    def _stop(self, victim: Victim, room: Room, need: Need) -> None:
+        self.stopped.add((victim.ref, victim.index))
+        self.plan.stops.append((victim.ref, victim.index, need.ref))
+        room.soon[0] += victim.cpus
+        room.soon[1] += victim.gpus
+        room.soon[2] += victim.memory_gb
+
     def _spend(self, need: Need, tasks: int) -> None:
         cpus, gpus = self.budget.get(need.spec.team, (0.0, 0.0))
         self.budget[need.spec.team] = (cpus + need.spec.cpus * tasks, gpus + need.spec.gpus * tasks)
@@ -354,6 +379,7 @@
         """All tasks find a place or none takes one, so that two gangs never hold halves."""
         spec = need.spec
         if self._team_room(need) < len(need.indices):
+            self._make_team_room(need, len(need.indices))
             self.plan.waiting[need.ref] = "team limit"
             return
         found = self._gang_rooms(need, self.up, soon=False)
@@ -434,11 +460,7 @@
             return False
         for _, room, chosen in best[1]:
             for victim in chosen:
-                self.stopped.add((victim.ref, victim.index))
-                self.plan.stops.append((victim.ref, victim.index, need.ref))
-                room.soon[0] += victim.cpus
-                room.soon[1] += victim.gpus
-                room.soon[2] += victim.memory_gb
+                self._stop(victim, room, need)
             room.take(spec)
         return True
 
