--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import deque
 
@@ -12,9 +13,9 @@
 from .cloud.inventory import Inventory
 from .config.settings import Settings
 from .model.job import Job, JobState
-from .model.machine import Machine, MachineState
+from .model.machine import Machine, MachineEvent, MachineState
 from .model.picture import START, TIDY, Picture, zone_counts
-from .model.task import PRESENT, TaskState
+from .model.task import PRESENT, Task, TaskState
 from .policy import plan as policy
 from .policy.split import sub_deadline
 from .store import records
@@ -50,6 +51,7 @@
         self._recent: deque[tuple[float, Submission]] = deque(maxlen=500)
         self._seen_refs: set[str] = set()
         self._last_plan = 0.0
+        self._next_move = 0.0
         self._last_report = time.monotonic()
 
     def start(self) -> None:
@@ -331,6 +333,9 @@
                 room.soon[0] += spec.cpus
                 room.soon[1] += spec.gpus
                 room.soon[2] += spec.memory_gb
+            elif spec.kind is Kind.SERVICE and task.state is TaskState.RUNNING:
+                ran = now - (task.running_since or now)
+                room.movers.append(policy.Mover(task.job.ref, spec, zone_counts(task.job), ran))
             elif spec.priority is not Priority.PRODUCTION and task.state in PRESENT:
                 ran = now - task.running_since if task.running_since is not None else 0.0
                 lost = ran if spec.checkpoint_s <= 0 else min(ran, spec.save_s)
@@ -338,6 +343,8 @@
                                                   spec.gpus, spec.memory_gb, lost,
                                                   spec.tasks if spec.kind is Kind.GANG else 1,
                                                   job_ref(task) in within))
+            else:
+                room.fixed += 1
         return room
 
     def _reserves(self, wall: float) -> list[policy.Reserve]:
@@ -353,14 +360,13 @@
             if limit is not None and limit < boot and wall - when < c.RESERVE_WINDOW_S:
                 classes.setdefault(spec.job_class, []).append(spec)
                 oldest.setdefault(spec.job_class, when)
-        zones = self.settings.settings.zones
         for name, specs in classes.items():
             span = max(60.0, wall - oldest[name])
             tasks = sum(s.tasks for s in specs)
             expected = tasks / span * boot
             largest = max(s.tasks for s in specs)
-            per_zone = max(1, round(max(expected, largest) / len(zones) + 0.49))
-            found += [policy.Reserve(specs[-1], zone, per_zone) for zone in zones]
+            spread = math.sqrt(expected * tasks / len(specs))
+            found.append(policy.Reserve(specs[-1], max(largest, math.ceil(expected + c.RESERVE_DEVIATIONS * spread))))
         return found
 
     # -- commit and act ------------------------------------------------------------------------
@@ -395,6 +401,7 @@
         for rental in policy.merge_rentals(plan.rentals):
             self.inventory.rent(rental)
         self._return_idle(plan.spare, now)
+        self._consolidate(plan.drain, now)
         self._drain(now)
 
     def _return_idle(self, spare: set[str], now: float) -> None:
@@ -407,6 +414,26 @@
             if idle > c.IDLE_KEEP_S and now - machine.rented_at > c.FIRST_PAID_S - 2:
                 self.inventory.delete(machine, f"idle for {idle:.0f} s")
 
+    def _consolidate(self, name: str | None, now: float) -> None:
+        """Empty a machine by moving its replicas, one machine at a time."""
+        machine = self.picture.machines.get(name) if name else None
+        if machine is None or now < self._next_move:
+            return
+        if any(m.state is MachineState.DRAINING and m.tasks for m in self.picture.machines.values()):
+            return
+        log.info("moves %d replicas off %s to return it", len(machine.tasks), machine.name)
+        machine.drain_reason = "emptied"
+        machine.move(MachineEvent.DRAIN)
+
+    def _move_on(self, task: Task, now: float) -> None:
+        """Move replicas one after the other, so slowly that the time they are away hardly counts."""
+        if now < self._next_move:
+            return
+        replicas = sum(len(j.active) for j in self.picture.jobs.values() if j.kind is Kind.SERVICE)
+        away = c.MOVE_AWAY_S + self.settings.settings.workers.report_s / 2
+        self._next_move = now + away / (c.MOVE_LOSS_SHARE * max(1, replicas))
+        self.picture.stop(task, 0.0, now, "moved")
+
     def _drain(self, now: float) -> None:
         """Work on machines that are about to be taken or are faulty moves away in time to save."""
         for machine in self.picture.machines.values():
@@ -417,6 +444,9 @@
                 spec = task.job.spec
                 if task.stopping:
                     continue
+                if machine.drain_reason == "emptied":
+                    self._move_on(task, now)
+                    continue
                 if task.state is TaskState.COMMITTED and spec.kind is not Kind.GANG:
                     self.picture.stop(task, 0.0, now, machine.drain_reason)
                     continue
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -38,6 +38,16 @@
     within: bool = False  # its job is within its team's guarantee
 
 
+@dataclass(slots=True)
+class Mover:
+    """A replica that could be started elsewhere."""
+
+    ref: str
+    spec: Submission
+    zones: dict[str, int]
+    ran_s: float
+
+
 @dataclass(slots=True)
 class Room:
     """What is free on one machine, existing, booting or to be rented."""
@@ -54,6 +64,8 @@
     victims: list[Victim] = field(default_factory=list)
     soon: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])  # room of tasks being stopped
     empty: bool = False
+    movers: list[Mover] = field(default_factory=list)
+    fixed: int = 0  # tasks on it that can't be moved
     rent: int = -1  # place in the plan's rentals, for machines not rented yet
 
     def fits(self, spec: Submission) -> bool:
@@ -104,10 +116,9 @@
 
 @dataclass(slots=True)
 class Reserve:
-    """Room kept warm in a zone for work that must start sooner than a machine boots."""
+    """Room kept warm for work that must start sooner than a machine boots."""
 
     spec: Submission
-    zone: str
     count: int
 
 
@@ -132,6 +143,7 @@
     rentals: list[Rental] = field(default_factory=list)
     waiting: dict[str, str] = field(default_factory=dict)  # job: why its tasks wait
     spare: set[str] = field(default_factory=set)  # empty machines that nothing needs
+    drain: str | None = None  # a machine whose replicas fit elsewhere
 
 
 def order(need: Need) -> tuple[int, bool, float, str]:
@@ -496,29 +508,74 @@
 
     # -- reserve -------------------------------------------------------------------------------
 
-    def reserve(self, reserve: Reserve) -> None:
-        """Room that is warm: free, or taken by work that would give way."""
+    def _missing(self, reserve: Reserve, rooms: Iterable[Room], keep: bool) -> tuple[int, dict[str, int]]:
+        """How much of a reserve is not warm: neither free nor taken by work that would give way."""
         spec, left = reserve.spec, reserve.count
-        for room in self.up + self.coming:
+        per_zone: dict[str, int] = {}
+        most = (reserve.count + 1) // 2 if spec.spread else reserve.count
+        for room in rooms:
             if left <= 0:
-                return
-            if room.zone != reserve.zone or not room.allowed(spec):
+                break
+            if not room.allowed(spec):
                 continue
-            gpus = room.gpus + room.soon[1] + sum(v.gpus for v in room.victims if v.rank < spec.priority.rank)
-            cpus = room.cpus + room.soon[0] + sum(v.cpus for v in room.victims if v.rank < spec.priority.rank)
-            fit = int(min(gpus / spec.gpus if spec.gpus else math.inf, cpus / spec.cpus if spec.cpus else math.inf,
-                          left) + EPS)
+            gives = [v for v in room.victims if v.rank < spec.priority.rank]
+            fit = int(min(
+                (room.gpus + room.soon[1] + sum(v.gpus for v in gives)) / spec.gpus if spec.gpus else math.inf,
+                (room.cpus + room.soon[0] + sum(v.cpus for v in gives)) / spec.cpus if spec.cpus else math.inf,
+                left, most - per_zone.get(room.zone, 0)) + EPS)
             if fit > 0:
-                room.empty = False
+                if keep:
+                    room.empty = False
                 left -= fit
-        need = Need("reserve", spec, [], self.snap.now, 0.0, {})
+                per_zone[room.zone] = per_zone.get(room.zone, 0) + fit
+        return left, per_zone
+
+    def reserve(self, reserve: Reserve) -> None:
+        """Keep room warm, and rent what is missing of it."""
+        # Machines in use first: an empty one is kept only if they are not enough.
+        rooms = sorted(self.up + self.coming, key=lambda r: (r.empty, r.ready_in))
+        left, per_zone = self._missing(reserve, rooms, keep=True)
+        spec = reserve.spec
         while left > 0 and self.snap.may_rent:
-            pinned = Need(need.ref, _in_zone(spec, reserve.zone), [], self.snap.now, 0.0, {})
-            rented = self._rent(pinned, {})
+            need = Need("reserve", spec, [], self.snap.now, 0.0, {})
+            if spec.spread:
+                need.spec = msgspec.structs.replace(spec, tasks=max(1, reserve.count))
+            rented = self._rent(need, per_zone)
             if rented is None:
                 return
-            left -= max(1, int(min(rented.gpus / spec.gpus if spec.gpus else math.inf,
-                                   rented.cpus / spec.cpus if spec.cpus else math.inf, left) + EPS))
+            fit = max(1, int(min(rented.gpus / spec.gpus if spec.gpus else math.inf,
+                                 rented.cpus / spec.cpus if spec.cpus else math.inf, left) + EPS))
+            left -= fit
+            per_zone[rented.zone] = per_zone.get(rented.zone, 0) + fit
+
+    # -- consolidation -------------------------------------------------------------------------
+
+    def consolidate(self) -> None:
+        """Name the emptiest machine whose replicas would all fit on others that hold their images."""
+        if self.plan.waiting or self.plan.rentals or self.coming:
+            return
+        candidates = [r for r in self.up if r.movers and not r.fixed and not r.victims
+                      and all(m.ran_s >= c.MOVE_AFTER_S for m in r.movers)]
+        # Few replicas are quickly moved; few images are little lost for later starts.
+        for room in sorted(candidates, key=lambda r: (len(r.movers), len(r.images), r.name)):
+            others = [r for r in self.up if r is not room and not r.empty]
+            taken: list[tuple[Room, Submission]] = []
+            for mover in room.movers:
+                placed = {z: n - (z == room.zone) for z, n in mover.zones.items()}
+                need = Need(mover.ref, mover.spec, [], self.snap.now, 0.0, {})
+                held = [r for r in others if mover.spec.image in r.images and r.spot == room.spot]
+                target = self._best(need, held, placed)
+                if target is None:
+                    break
+                target.take(mover.spec)
+                taken.append((target, mover.spec))
+            fits = len(taken) == len(room.movers) and all(
+                self._missing(reserve, others, keep=False)[0] <= 0 for reserve in self.snap.reserves)
+            for target, spec in taken:
+                target.give(spec)
+            if fits:
+                self.plan.drain = room.name
+                return
 
     def run(self) -> Plan:
         for need in sorted(self.snap.needs, key=order):
@@ -529,13 +586,10 @@
         for reserve in self.snap.reserves:
             self.reserve(reserve)
         self.plan.spare = {r.name for r in self.up if r.empty}
+        self.consolidate()
         return self.plan
 
 
-def _in_zone(spec: Submission, zone: str) -> Submission:
-    return msgspec.structs.replace(spec, zone=zone, spread=False, one_zone=False)
-
-
 def make_plan(snap: Snapshot) -> Plan:
     return Planner(snap).run()
 
