--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -342,7 +342,7 @@
                 room.victims.append(policy.Victim(job_ref(task), task.index, spec.priority.rank, spec.team, spec.cpus,
                                                   spec.gpus, spec.memory_gb, lost,
                                                   spec.tasks if spec.kind is Kind.GANG else 1,
-                                                  job_ref(task) in within, spec.spot))
+                                                  job_ref(task) in within))
             else:
                 room.fixed += 1
         return room
@@ -419,8 +419,7 @@
         machine = self.picture.machines.get(name) if name else None
         if machine is None or now < self._next_move:
             return
-        if any(m.state is MachineState.DRAINING and m.tasks and m.drain_reason == "emptied"
-               for m in self.picture.machines.values()):
+        if any(m.state is MachineState.DRAINING and m.tasks for m in self.picture.machines.values()):
             return
         log.info("moves %d replicas off %s to return it", len(machine.tasks), machine.name)
         machine.drain_reason = "emptied"
@@ -446,8 +445,7 @@
                 if task.stopping:
                     continue
                 if machine.drain_reason == "emptied":
-                    if spec.kind is Kind.SERVICE:
-                        self._move_on(task, now)
+                    self._move_on(task, now)
                     continue
                 if task.state is TaskState.COMMITTED and spec.kind is not Kind.GANG:
                     self.picture.stop(task, 0.0, now, machine.drain_reason)
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -36,7 +36,6 @@
     lost_s: float  # work that stopping it would cost
     group: int  # tasks that stop with it
     within: bool = False  # its job is within its team's guarantee
-    spot: bool = False  # its job may use cheap machines
 
 
 @dataclass(slots=True)
@@ -553,11 +552,10 @@
 
     def consolidate(self) -> None:
         """Name the emptiest machine whose replicas would all fit on others that hold their images."""
-        if self.plan.rentals or self.coming or any(not n.spec.spot for n in self.snap.needs):
+        if self.plan.waiting or self.plan.rentals or self.coming:
             return
-        # Other work ends by itself, and what comes next goes to cheaper machines.
-        candidates = [r for r in self.up if (r.movers or r.victims) and not r.fixed and not r.spot
-                      and all(m.ran_s >= c.MOVE_AFTER_S for m in r.movers) and all(v.spot for v in r.victims)]
+        candidates = [r for r in self.up if r.movers and not r.fixed and not r.victims
+                      and all(m.ran_s >= c.MOVE_AFTER_S for m in r.movers)]
         # Few replicas are quickly moved; few images are little lost for later starts.
         for room in sorted(candidates, key=lambda r: (len(r.movers), len(r.images), r.name)):
             others = [r for r in self.up if r is not room and not r.empty]
