--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -41,7 +41,10 @@
 # --- workers ----------------------------------------------------------------------------------
 COMMAND_TIMEOUT_S = 2.0  # s; a direct command that takes longer is repeated by the next report
 RELAY_TIMEOUT_S = 1.0  # s; a report handed to the leader over the back link; workers wait 4 s
-REDIRECT_MEMORY_S = 6.0  # s; a worker that comes back this soon after a redirect can't reach the leader
+REDIRECT_MEMORY_S = 12.0  # s; a worker that comes back this soon after a redirect can't reach the leader
+CONTACT_MEMORY_S = 30.0  # s; what is known of a worker on the wrong node is forgotten after this
+CONTACTS_MOST = 2000  # workers remembered so; far above the machines of a deployment
+CUT_MEMORY_S = 20.0  # s after a cut in which its zone's silence still counts as the cut's
 SILENT_SHARE = 1.0  # of lease_s; after this much silence a lone machine is deleted
 SILENT_ZONE_SHARE = 3.0  # of lease_s; the same while most of its zone is silent: then the cut is ours
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -55,6 +55,7 @@
         self._last_plan = 0.0
         self._next_move = 0.0
         self._next_images = 0.0
+        self._cut_until: dict[str, float] = {}
         self.picture.known_images = dict(link.images)
         self._last_report = time.monotonic()
 
@@ -247,6 +248,11 @@
                 return f"holds the cancelled {task.name}"
         neighbours = [m for m in up if m.zone == machine.zone]
         cut = sum(m.name in silent for m in neighbours) > max(1.0, c.ZONE_SILENT_PART * len(neighbours))
+        if cut:
+            self._cut_until[machine.zone] = now + c.CUT_MEMORY_S
+        # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
+        # nine machines at a time.
+        cut = now < self._cut_until.get(machine.zone, 0.0)
         if quiet > workers.lease_s * (c.SILENT_ZONE_SHARE if cut else c.SILENT_SHARE):
             return f"silent for {quiet:.1f} s"
         return None
