Serve each zone's workers through a node of their zone

Ruled out: renewals by followers, which came in time where the order of nodes was luckier. Workers now belong to a node of their own zone, which hands reports to the leader.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -1,4 +1,4 @@
-"""Who answers a worker's report on a node that does not lead."""
+"""Who answers a worker's report, by zone, leadership and what the link can do."""
 
 from __future__ import annotations
 
@@ -11,45 +11,61 @@
 
 
 class FakeLink:
-    def __init__(self) -> None:
-        self.peer = SimpleNamespace(seed=SimpleNamespace(node="node-1"))
+    def __init__(self, leader_zone, locals_by_zone):
+        self.peer = SimpleNamespace(seed=SimpleNamespace(node="node-1", zone=leader_zone))
+        self.locals = locals_by_zone
         self.works = True
 
     def leader(self, now):
         return self.peer
 
+    def in_zone(self, zone, now):
+        return self.locals.get(zone)
+
     async def relay(self, peer, body):
         if not self.works:
             raise NoLink
         return 200, b'{"baton":3,"orders":[]}'
 
 
-def reports():
-    link = FakeLink()
-    node = SimpleNamespace(link=link, controller=None, known_term=lambda: 3)
+def follower(zone, leader_zone="a", **locals_by_zone):
+    link = FakeLink(leader_zone, locals_by_zone)
+    node = SimpleNamespace(link=link, controller=None, known_term=lambda: 3, settings=SimpleNamespace(zone=zone))
     return Reports(node), link  # type: ignore[arg-type]
 
 
-def report(token=3):
-    return json.dumps({"rig": "vm-1", "endpoint": "10.0.0.1:1", "rigType": "g4", "hall": "a", "loaner": False,
-                       "shift": 1, "tick": 5, "baton": token, "recallS": None, "pieces": []}).encode()
-
+def ask(handler, zone="a", token=3):
+    body = {"rig": "vm-1", "endpoint": "10.0.0.1:1", "rigType": "g4", "hall": zone, "loaner": False, "shift": 1,
+            "tick": 5, "baton": token, "recallS": None, "pieces": []}
+    status, answer = asyncio.run(handler.handle(json.dumps(body).encode()))
+    return status, json.loads(answer)
 
-def ask(handler, token=3):
-    status, body = asyncio.run(handler.handle(report(token)))
-    return status, json.loads(body)
 
-
-def test_a_worker_is_served_before_it_is_sent_to_the_leader():
-    """A redirect to a leader behind a cut costs 10 s of going round, which is all of a lease."""
-    handler, _ = reports()
+def test_a_worker_is_served_before_it_is_sent_home():
+    """A redirect to a node behind a cut costs 10 s of going round, which is all of a lease."""
+    handler, _ = follower("b")
     assert ask(handler)[0] == 200
     assert ask(handler) == (421, {"reportsTo": "node-1"})
     assert [ask(handler)[0] for _ in range(3)] == [200, 200, 200]
 
 
+def test_a_worker_stays_with_a_node_of_its_own_zone():
+    """Behind a cut between zones, workers on the leader alone once lost 86 tasks to their leases."""
+    handler, link = follower("b")
+    assert [ask(handler, "b")[0] for _ in range(3)] == [200, 200, 200]
+    link.works = False
+    assert ask(handler, "b") == (200, {"baton": 3, "orders": []})
+
+
+def test_a_worker_of_a_third_zone_goes_to_the_node_there_or_else_to_the_leader():
+    handler, _ = follower("b", c="node-2")
+    assert [ask(handler, "c") for _ in range(2)][1] == (421, {"reportsTo": "node-2"})
+    handler, _ = follower("b")
+    assert [ask(handler, "c") for _ in range(2)][1] == (421, {"reportsTo": "node-1"})
+
+
 def test_without_a_link_the_lease_is_renewed_with_the_highest_term_and_no_command():
-    handler, link = reports()
+    handler, link = follower("a")
     link.works = False
     assert ask(handler) == (200, {"baton": 3, "orders": []})
     assert ask(handler, token=5) == (200, {"baton": 5, "orders": []})
@@ -58,7 +74,7 @@
 
 
 def test_no_term_is_made_up():
-    handler, link = reports()
+    handler, link = follower("a")
     link.peer = None
     handler.node.known_term = lambda: 0
     assert ask(handler, token=0)[0] == 503
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -28,6 +28,7 @@
     seed: Seed
     heard: back.PeerState | None = None
     heard_at: float = 0.0
+    steady_since: float = 0.0  # heard without a gap since then
     stream: IOStream | None = None
     waiting: dict[int, asyncio.Future] = field(default_factory=dict)
 
@@ -58,6 +59,12 @@
         leads = [p for p in self.peers.values() if p.heard is not None and p.heard.leads and p.fresh(now)]
         return max(leads, key=lambda p: p.heard.term if p.heard else 0, default=None)
 
+    def in_zone(self, zone: str, now: float) -> str | None:
+        """A node there that has been heard of steadily and just now."""
+        found = [p.seed.node for p in self.peers.values()
+                 if p.seed.zone == zone and p.fresh(now) and now - p.steady_since > c.PEER_STEADY_S]
+        return min(found, default=None)
+
     def term(self) -> int:
         return max((p.heard.term for p in self.peers.values() if p.heard), default=0)
 
@@ -106,7 +113,10 @@
         # Frames held back by a cut may arrive late: an older term says nothing about the present.
         if peer.heard is not None and state.term < peer.heard.term:
             return
-        peer.heard, peer.heard_at = state, time.monotonic()
+        now = time.monotonic()
+        if not peer.fresh(now):
+            peer.steady_since = now
+        peer.heard, peer.heard_at = state, now
         self._on_state(state)
 
     # -- asking --------------------------------------------------------------------------------
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -94,6 +94,7 @@
 BACK_CONNECT_S = 1.0  # s for one connection attempt
 BACK_WRITE_S = 2.0  # s until a link that takes no more bytes is given up
 BACK_RETRY_S = 0.5  # s between two attempts
+PEER_STEADY_S = 4.0  # s a node must have been heard of before workers are sent to it
 BACK_AGAIN_S = 0.1  # s before the first new attempt after the other side closed the connection
 IMAGES_EVERY_S = 3.0  # s between two words of the leader about the images of its machines
 BACK_STATE_S = 0.5  # s between two state frames
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -160,8 +160,11 @@
             commands += self.picture.orders(machine, report, now)
         return commands
 
-    def outranked(self, term: int) -> None:
-        self.election.lose(f"a worker knows term {term}")
+    def starts_wait(self, name: str) -> bool:
+        """Are there starts that the next report's answer should carry?"""
+        machine = self.picture.machines.get(name)
+        return machine is not None and any(t.state in (TaskState.COMMITTED, TaskState.PROPOSED)
+                                           for t in machine.tasks.values())
 
     # -- decide --------------------------------------------------------------------------------
 
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -1,10 +1,10 @@
 """Who answers a worker's report, and how.
 
-The leader takes reports in. Any other node hands the first report over the back link and then sends the worker to
-the leader; one that comes back can't reach it and is served over the link for a while. When the link fails too,
-the answer holds no commands: it renews the worker's lease and keeps its tasks alive through outages and cuts.
-That is safe because the end of a lease is nowhere taken as a proof that tasks are gone (docs/design.md): only a
-newer report or an answered deletion is.
+A worker belongs to a node of its own zone where there is one, or else to the leader. Any node but the leader hands
+reports over the back link and passes the leader's answer on. When the link fails, the answer holds no commands: it
+renews the worker's lease and keeps its tasks alive through outages and cuts, and since the node is in the worker's
+own zone, a cut between zones is not even noticed there. That is safe because the end of a lease is nowhere taken as
+a proof that tasks are gone (docs/design.md): only a newer report or an answered deletion is.
 """
 
 from __future__ import annotations
@@ -30,14 +30,14 @@
 
 @dataclass(slots=True)
 class Contact:
-    """A worker on the wrong node. Its first report is handed over, and only then is it sent to the leader:
+    """A worker that belongs to another node. It is served first, and only then sent there:
 
-    a worker that had just lost its leader to a cut was once redirected to it again, and its lease ran out
-    before it had gone round the nodes once more.
+    a worker that had just lost its node to a cut was once redirected to it again, and its lease ran out before it
+    had gone round the nodes once more.
     """
 
     at: float = 0.0
-    relayed: bool = False
+    served: bool = False
     redirected: float = -math.inf
     stay_until: float = -math.inf
 
@@ -53,18 +53,22 @@
         except Invalid as err:
             log.warning("report dropped: %s", err)
             return 400, msgspec.json.encode({"error": str(err)})
-        own = self.take(report)
-        if own is not None:
-            return own
-        return await self._elsewhere(report, body)
+        now = time.monotonic()
+        controller = self.node.controller
+        home = self._home(report.zone, now)
+        if home is not None and not (controller is not None and controller.starts_wait(report.machine)):
+            target = self._redirect(report.machine, home, now)
+            if target is not None:
+                return 421, msgspec.json.encode(w.Redirect(target))
+        answer = self.take(report) or await self._hand_over(body, now) or self._renew(report)
+        if home is not None and answer[0] == 200:
+            self._known(report.machine, now).served = True
+        return answer
 
     def take(self, report: w.Report) -> tuple[int, bytes] | None:
         """Answer as the leader, or None when this node does not lead."""
         controller = self.node.controller
-        if controller is None:
-            return None
-        if report.token > controller.term:
-            controller.outranked(report.token)
+        if controller is None or report.token > controller.term:
             return None
         commands = controller.on_report(report)
         if commands is None:
@@ -79,28 +83,42 @@
             return 400, msgspec.json.encode({"error": str(err)})
         return answer or (503, msgspec.json.encode({"error": "does not lead"}))
 
-    async def _elsewhere(self, report: w.Report, body: bytes) -> tuple[int, bytes]:
-        now = time.monotonic()
-        peer = self.node.link.leader(now)
-        if peer is None:
-            return self._renew(report)
-        seen = self._known(report.machine, now)
-        if seen.relayed and now >= seen.stay_until:
-            # Its lease has just been renewed, so there is time to try the leader itself.
-            seen.relayed = False
-            seen.redirected = now
-            return 421, msgspec.json.encode(w.Redirect(peer.seed.node))
+    def _home(self, zone: str, now: float) -> str | None:
+        """The node that workers of a zone belong to, or None when it is this one."""
+        own, link = self.node.settings, self.node.link
+        leader = link.leader(now)
+        if own.zone == zone or (leader is None and self.node.controller is None):
+            return None
+        if leader is not None and leader.seed.zone == zone:
+            return leader.seed.node
+        local = link.in_zone(zone, now)
+        if local is not None:
+            return local
+        return leader.seed.node if leader is not None and self.node.controller is None else None
+
+    def _redirect(self, machine: str, home: str, now: float) -> str | None:
+        """Send the worker home, unless it has just come back from there."""
+        seen = self._known(machine, now)
         if now - seen.redirected < c.REDIRECT_MEMORY_S:
-            seen.stay_until = now + c.RELAY_STICKY_S  # it came back: it can't reach the leader
+            seen.stay_until = now + c.RELAY_STICKY_S
             seen.redirected = -math.inf
+            seen.served = False
+        if not seen.served or now < seen.stay_until:
+            return None
+        # Its lease has just been renewed, so there is time to try.
+        seen.served = False
+        seen.redirected = now
+        return home
+
+    async def _hand_over(self, body: bytes, now: float) -> tuple[int, bytes] | None:
+        leader = self.node.link.leader(now)
+        if leader is None:
+            return None
         try:
-            status, answer = await self.node.link.relay(peer, body)
-            if status == 200:
-                seen.relayed = True
-                return status, answer
+            status, answer = await self.node.link.relay(leader, body)
         except NoLink:
-            pass
-        return self._renew(report)
+            return None
+        return (status, answer) if status == 200 else None
 
     def _known(self, machine: str, now: float) -> Contact:
         """What this node remembers of a machine that reported to it though it does not lead."""
