Keep room under a team's limit for the work it was made for

Ruled out: guarantees between teams. What can't suffice is no longer stopped, and a record that contradicts the picture ends the leadership instead of an error line.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -178,6 +178,22 @@
     assert len(p.make_plan(snap).stops) == 1
 
 
+def test_room_under_a_limit_is_kept_for_the_work_it_was_made_for():
+    busy = room("m1")
+    busy.gpus = 0.0
+    busy.victims = [p.Victim("wk-8", n, 0, "red", 5.0, 1.0, 20.0, 3.0, 1) for n in range(4)]
+    gang = p.Need("wk-1", spec("wk-1", tasks=2, gpus=2.0, kind=Kind.GANG), [0, 1], 1000.0, 60.0, {})
+    small = p.Need("wk-2", spec("wk-2", tasks=1, priority=Priority.LOW), [0], 1000.0, 60.0, {})
+    snap = snapshot([busy, room("m2")], [gang, small])
+    snap.ledger.add(spec(), 7)
+    plan = p.make_plan(snap)
+    assert plan.starts == [] and len(plan.stops) == 1
+    snap = snapshot([busy, room("m2")], [gang])
+    busy.victims = busy.victims[:1]
+    snap.ledger.add(spec(), 10)
+    assert p.make_plan(snap).stops == []
+
+
 def test_work_due_now_starts_where_its_image_is():
     """Services once fetched for 16 to 25 s on an idle machine while arrays held the places beside their image."""
     busy = room("m1", images={"img"})
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -177,7 +177,7 @@
                 pass
             self._wake.clear()
             self.election.check()
-            if self.batcher.lost:
+            if self.batcher.lost or self.picture.superseded:
                 self.election.lose("another node holds the leader key")
                 return
             if self.loaded and self.me.entitled(time.monotonic()):
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -41,6 +41,7 @@
         self.run_ratio: dict[str, float] = {}  # job class: real run time by the estimate
         self.known_images: dict[str, dict[str, float]] = {}  # what the leader before knew of machines
         self.changed = True
+        self.superseded = False  # a record shows that another leader has decided
         self.on_stop: Callable[[Task], None] = lambda task: None
 
     # -- records -------------------------------------------------------------------------------
@@ -77,8 +78,10 @@
                 continue
             if task is not None:
                 if task.state is not TaskState.PROPOSED:
-                    log.error("%s: the record names %s, the picture %s", task.name, name, task.machine.name)
-                    continue
+                    # Only another leader can have moved it: this picture is out of date (invariant 1).
+                    log.info("%s: the record names %s, not %s: another node leads", task.name, name, task.machine.name)
+                    self.superseded = True
+                    return job
                 self._drop(task, TaskEvent.REJECT, now)
             if name in self.deleted:
                 job.mark(TIDY)
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -307,7 +307,9 @@
         must = self.must_start(need)
         for index in need.indices:
             if room_left <= 0:
+                self._spend(need, len(starts))
                 self._make_team_room(need, len(need.indices) - need.indices.index(index))
+                self._spend(need, -len(starts))
                 self.plan.waiting[need.ref] = "team limit"
                 break
             room = None if blocked_up else self._best(need, self.up, placed)
@@ -371,16 +373,26 @@
         return max(0, most)
 
     def _make_team_room(self, need: Need, tasks: int) -> None:
-        """A team's own work of lower priority gives way when the team's limit leaves no room."""
+        """A team's own work of lower priority gives way when the team's limit leaves no room.
+
+        The room is kept for the work it was made for: freed a task at a time, it was once taken by the team's next
+        small tasks, which were stopped in turn, 600 times in 50 s. What can't suffice is not stopped at all.
+        """
         spec = need.spec
+        team = self.snap.ledger.teams.get(spec.team)
+        if team is None:
+            return
         mine = [(v, r) for r in self.up for v in r.victims
                 if v.team == spec.team and v.rank < spec.priority.rank and (v.ref, v.index) not in self.stopped]
         mine.sort(key=lambda pair: (pair[0].rank, pair[0].lost_s * pair[0].group))
-        soon = self.snap.stopping_gpus.get(spec.team, 0.0), self.snap.stopping_cpus.get(spec.team, 0.0)
-        team = self.snap.ledger.teams[spec.team]
-        used = self.snap.ledger.used[spec.team]
-        gpus = used.gpus + spec.gpus * tasks - team.gpus_max - soon[0] if team.gpus_max > 0 else 0.0
-        cpus = used.cpus + spec.cpus * tasks - team.cpus_max - soon[1] if team.cpus_max > 0 else 0.0
+        used, given = self.snap.ledger.used[spec.team], self.budget.get(spec.team, (0.0, 0.0))
+        gpus = used.gpus + given[1] + spec.gpus * tasks - team.gpus_max if team.gpus_max > 0 else 0.0
+        cpus = used.cpus + given[0] + spec.cpus * tasks - team.cpus_max if team.cpus_max > 0 else 0.0
+        gpus -= self.snap.stopping_gpus.get(spec.team, 0.0)
+        cpus -= self.snap.stopping_cpus.get(spec.team, 0.0)
+        if gpus > sum(v.gpus for v, _ in mine) + EPS or cpus > sum(v.cpus for v, _ in mine) + EPS:
+            return
+        self._spend(need, tasks)
         for victim, room in mine:
             if gpus <= EPS and cpus <= EPS:
                 return
