--- a/winglift/cli.py
+++ b/winglift/cli.py
@@ -9,6 +9,7 @@
 import sys
 
 from . import __version__
+from .config import script
 from .config.settings import SettingsError, load
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -17,7 +18,9 @@
 def parser() -> argparse.ArgumentParser:
     made = argparse.ArgumentParser(prog="winglift", description="One controller node of the winglift scheduler.")
     made.add_argument("--config", metavar="FILE", required=True, help="the platform's settings file (TOML)")
-    made.add_argument("--check", action="store_true", help="check the settings and exit; starts nothing")
+    made.add_argument("--script", metavar="FILE", default=os.environ.get("WINGLIFT_SCRIPT"),
+                      help="operators' own settings (Lua); default: the variable WINGLIFT_SCRIPT, or none")
+    made.add_argument("--check", action="store_true", help="check the settings and the script, and exit")
     made.add_argument("--version", action="version", version=f"winglift {__version__}")
     return made
 
@@ -30,7 +33,8 @@
     logging.getLogger("tornado.access").setLevel(logging.ERROR)
     try:
         settings = load(args.config)
-    except SettingsError as err:
+        rules = script.load(args.script) if args.script else script.Script()
+    except (SettingsError, script.ScriptError) as err:
         print(f"winglift: {err}", file=sys.stderr)
         return 2
     if args.check:
@@ -38,5 +42,5 @@
         return 0
     from .node import Node
 
-    asyncio.run(Node(settings).run())
+    asyncio.run(Node(settings, rules).run())
     return 0
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -101,3 +101,7 @@
 PEER_FRESH_S = 1.8  # s; three state frames missed make a peer's word stale
 RELAY_STICKY_S = 20.0  # s; a worker that could not reach the leader is relayed this long before a new try
 START_PATIENCE_S = 5.0  # s after its start in which a node without machine types is not up yet
+
+# --- operator script --------------------------------------------------------------------------
+SCRIPT_MEMORY = 4 * 1024 * 1024  # bytes of Lua memory; a twentieth of the smaller machine
+SCRIPT_INSTRUCTIONS = 20_000  # Lua instructions of one call, below 1 ms: scheduling must not wait for a script
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -12,6 +12,7 @@
 from .cloud.client import CloudClient
 from .cloud.inventory import Inventory
 from .cluster.link import Link
+from .config.script import Script
 from .config.settings import Settings
 from .model.job import Job, JobState
 from .model.machine import Machine, MachineEvent, MachineState
@@ -33,7 +34,7 @@
 
 class Controller:
     def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, election: Election,
-                 types: dict[str, MachineType], link: Link) -> None:
+                 types: dict[str, MachineType], link: Link, script: Script) -> None:
         self.settings = settings
         self.state = state
         self.election = election
@@ -41,6 +42,7 @@
         self.term = election.me.term
         self.types = types
         self.link = link
+        self.script = script
         self.picture = Picture(settings, types, self.term)
         self.batcher = Batcher(state, settings.settings.state, self.picture, self.me)
         self.inventory = Inventory(cloud, self.picture, settings.settings.cloud.list_lag_s)
@@ -297,6 +299,7 @@
             refused=self.inventory.refused_now(now), reserves=self._reserves(wall),
             stopping_gpus=stopping_gpus, stopping_cpus=stopping_cpus,
             # What an earlier leader rented shows up in the list only after its lag.
+            slack_pad=self.script.number("slack_pad"),
             may_rent=self.inventory.listed_once and now - self.began > lag * c.GRACE_AFTER_TAKEOVER,
         )
 
@@ -324,6 +327,7 @@
         if not indices:
             return None
         run_s = self.picture.estimate_s(job) * c.ESTIMATE_PAD
+        run_s = self.script.ask("estimate_s", run_s, spec.job_class, spec.estimate_s, run_s)
         due = sub_deadline(job.submitted, spec.due_s, run_s)
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within)
 
@@ -382,7 +386,8 @@
             expected = tasks / span * boot
             largest = max(s.tasks for s in specs)
             spread = math.sqrt(expected * tasks / len(specs))
-            found.append(policy.Reserve(specs[-1], max(largest, math.ceil(expected + c.RESERVE_DEVIATIONS * spread))))
+            proposed = max(largest, math.ceil(expected + self.script.number("reserve_deviations") * spread))
+            found.append(policy.Reserve(specs[-1], int(self.script.ask("reserve", proposed, name, proposed))))
         return found
 
     # -- commit and act ------------------------------------------------------------------------
@@ -427,7 +432,7 @@
             if machine is None or machine.tasks or machine.strangers or machine.state is not MachineState.UP:
                 continue
             idle = now - (machine.idle_since if machine.idle_since is not None else now)
-            if idle > c.IDLE_KEEP_S and now - machine.rented_at > c.FIRST_PAID_S - 2:
+            if idle > self.script.number("idle_keep_s") and now - machine.rented_at > c.FIRST_PAID_S - 2:
                 self.inventory.delete(machine, f"idle for {idle:.0f} s")
 
     def _consolidate(self, name: str | None, now: float) -> None:
@@ -447,7 +452,7 @@
             return
         replicas = sum(len(j.active) for j in self.picture.jobs.values() if j.kind is Kind.SERVICE)
         away = c.MOVE_AWAY_S + self.settings.settings.workers.report_s / 2
-        self._next_move = now + away / (c.MOVE_LOSS_SHARE * max(1, replicas))
+        self._next_move = now + away / (self.script.number("move_loss_share") * max(1, replicas))
         self.picture.stop(task, 0.0, now, "moved")
 
     def _drain(self, now: float) -> None:
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -14,6 +14,7 @@
 from .api.jobs import Jobs, status_of
 from .cloud.client import CloudClient, CloudError
 from .cluster.link import Link
+from .config.script import Script
 from .config.settings import Settings, parse_addr
 from .controller import Controller
 from .model.leadership import Role
@@ -28,8 +29,9 @@
 
 
 class Node:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, script: Script | None = None) -> None:
         self.settings = settings
+        self.script = script or Script()
         params = settings.settings
         self.state = StateClient(*parse_addr(settings.services.state, "services.state"), params.state, params.nodes)
         self.cloud = CloudClient(*parse_addr(settings.services.cloud, "services.cloud"), params.cloud, params.nodes)
@@ -96,7 +98,7 @@
         """The role has changed: begin or end the leader's work."""
         if self.election.me.role is Role.LEADER:
             self.controller = Controller(self.settings, self.state, self.cloud, self.election, self.types,
-                                         self.link)
+                                         self.link, self.script)
             self.cloud.set_leading(True)
             self.controller.start()
         elif self.controller is not None:
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -132,6 +132,7 @@
     refused: set[tuple[str, str, bool]]  # type, zone, spot: recently without capacity
     reserves: list[Reserve] = field(default_factory=list)
     may_rent: bool = True
+    slack_pad: float = c.SLACK_PAD
     stopping_gpus: dict[str, float] = field(default_factory=dict)  # per team, of tasks being stopped
     stopping_cpus: dict[str, float] = field(default_factory=dict)
 
@@ -293,7 +294,7 @@
         cheapest = min((t for t in self.snap.types.values() if need.spec.types is None or t.name in need.spec.types),
                        key=lambda t: t.price, default=None)
         boot = cheapest.boot_s + need.spec.image_gb / max(cheapest.fetch_gb_per_s, 1e-3) if cheapest else 0.0
-        return need.sub_deadline - self.snap.now - need.run_s * c.SLACK_PAD - boot - c.CYCLE_S <= 0
+        return need.sub_deadline - self.snap.now - need.run_s * self.snap.slack_pad - boot - c.CYCLE_S <= 0
 
     # -- jobs ----------------------------------------------------------------------------------
 
