--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,6 +10,7 @@
 from winglift.model.teams import Ledger
 from winglift.net.budget import Budget
 from winglift.policy import plan as p
+from winglift.policy.reserve import reserve_size
 from winglift.policy.split import split_deadline, sub_deadline
 from winglift.wire.users import Kind, Priority
 
@@ -207,6 +208,24 @@
     assert plan.starts == [("wk-1", [(0, "m2")])]
 
 
+def test_the_first_rush_does_not_size_the_reserve():
+    rush = [(0.5, 2)] * 19
+    assert reserve_size(rush, 5.0, 45.0, 2.0) == 2
+    assert reserve_size(rush, 200.0, 45.0, 2.0) == 2
+    steady = [(10.0 * i, 2) for i in range(30)]
+    assert 9 <= reserve_size(steady, 300.0, 45.0, 0.0) <= 10
+    assert reserve_size(steady, 300.0, 45.0, 2.0) > reserve_size(steady, 300.0, 45.0, 0.0)
+
+
+def test_dear_machines_are_rented_for_cheap_work_only_when_its_slack_is_gone():
+    """Once, when cheap machines ran short, 20 dear ones were rented for arrays with minutes of slack."""
+    job = spec("wk-1", tasks=1, due_s=900.0, spot=True)
+    for due, rented in ((1900.0, []), (1100.0, [False])):
+        snap = snapshot([], [p.Need("wk-1", job, [0], due, 60.0, {}, within=True)])
+        snap.refused = {("g4", z, True) for z in "ab"}
+        assert [r.spot for r in p.make_plan(snap).rentals] == rented
+
+
 def test_booting_machines_are_counted_before_more_are_rented():
     need = p.Need("wk-1", spec("wk-1", tasks=4), [0, 1, 2, 3], 1000.0, 60.0, {})
     assert p.make_plan(snapshot([room("m", ready_in=20.0)], [need])).rentals == []
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -82,7 +82,8 @@
 RESERVE_DEVIATIONS = 2.0  # arrivals beyond the expected ones that the reserve covers, in standard deviations
 IDLE_KEEP_S = 35.0  # s; an idle machine past its first paid stretch is kept this long
 RESERVE_WINDOW_S = 300.0  # s; arrivals this recent size the warm reserve
-RESERVE_MOST_SHARE = 0.25  # of the machines in use; the most that the warm reserve may add
+RESERVE_SLOT_S = 10.0  # s; stretches in which arrivals are counted
+RESERVE_SPAN_S = 60.0  # s; arrivals over less than this say little about a rate
 GRACE_AFTER_TAKEOVER = 1.0  # of list_lag_s; no renting until the list can show what was rented before
 
 # --- memory and sockets -----------------------------------------------------------------------
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections import deque
 
@@ -19,6 +18,7 @@
 from .model.picture import START, TIDY, Picture, zone_counts
 from .model.task import PRESENT, Task, TaskState
 from .policy import plan as policy
+from .policy.reserve import reserve_size
 from .policy.split import sub_deadline
 from .store import records
 from .store.batcher import Batcher
@@ -369,25 +369,19 @@
 
     def _reserves(self, wall: float) -> list[policy.Reserve]:
         """Warm room for classes that must start sooner than a machine boots, from their recent arrivals."""
-        objectives = {o.job_class: o.within_s for o in self.settings.settings.objectives
-                      if o.kind == "wait" and o.within_s is not None}
-        found: list[policy.Reserve] = []
         boot = max((t.boot_s for t in self.types.values()), default=0.0)
-        classes: dict[str, list[Submission]] = {}
-        oldest: dict[str, float] = {}
+        urgent = {o.job_class for o in self.settings.settings.objectives
+                  if o.kind == "wait" and o.within_s is not None and o.within_s < boot}
+        classes: dict[str, list[tuple[float, Submission]]] = {}
         for when, spec in self._recent:
-            limit = objectives.get(spec.job_class)
-            if limit is not None and limit < boot and wall - when < c.RESERVE_WINDOW_S:
-                classes.setdefault(spec.job_class, []).append(spec)
-                oldest.setdefault(spec.job_class, when)
-        for name, specs in classes.items():
-            span = max(60.0, wall - oldest[name])
-            tasks = sum(s.tasks for s in specs)
-            expected = tasks / span * boot
-            largest = max(s.tasks for s in specs)
-            spread = math.sqrt(expected * tasks / len(specs))
-            proposed = max(largest, math.ceil(expected + self.script.number("reserve_deviations") * spread))
-            found.append(policy.Reserve(specs[-1], int(self.script.ask("reserve", proposed, name, proposed))))
+            if spec.job_class in urgent and wall - when < c.RESERVE_WINDOW_S:
+                classes.setdefault(spec.job_class, []).append((when, spec))
+        deviations = self.script.number("reserve_deviations")
+        found: list[policy.Reserve] = []
+        for name, arrivals in classes.items():
+            proposed = reserve_size([(when, spec.tasks) for when, spec in arrivals], wall, boot, deviations)
+            count = int(self.script.ask("reserve", proposed, name, proposed))
+            found.append(policy.Reserve(arrivals[-1][1], count))
         return found
 
     # -- commit and act ------------------------------------------------------------------------
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -257,6 +257,9 @@
         """The cheapest type that meets the sub-deadline counting its boot, or else the fastest."""
         spec, now = need.spec, self.snap.now
         best: tuple | None = None
+        # Cheap machines may be refused for now. Dear ones are rented instead only once the deadline asks for it:
+        # with a boot ahead, the start is late for a guarantee in any case.
+        kinds = (False,) if not spec.spot else (True, False) if self._slack_gone(need) else (True,)
         for mtype in self.snap.types.values():
             if spec.types is not None and mtype.name not in spec.types:
                 continue
@@ -267,7 +270,7 @@
             for zone in mtype.zones:
                 if (spec.zone is not None and zone != spec.zone) or not self._zone_ok(need, zone, placed):
                     continue
-                for spot in ((True, False) if spec.spot and mtype.spot_price is not None else (False,)):
+                for spot in kinds if mtype.spot_price is not None else (False,):
                     if (mtype.name, zone, spot) in self.snap.refused:
                         continue
                     price = (mtype.spot_price if spot else mtype.price) or mtype.price
@@ -287,9 +290,12 @@
         return room
 
     def must_start(self, need: Need) -> bool:
-        """Is the slack used up? Remaining time minus boot, fetch and run time minus a cycle (the slack wait)."""
-        if need.spec.due_s is None or need.within:
-            # Work within its team's guarantee need not wait for others, so it does not lend its slack.
+        """May the task wait no longer? Work within its team's guarantee need not wait for others: it lends no slack."""
+        return need.within or self._slack_gone(need)
+
+    def _slack_gone(self, need: Need) -> bool:
+        """Remaining time minus boot, fetch and run time minus a cycle (the slack wait)."""
+        if need.spec.due_s is None:
             return True
         cheapest = min((t for t in self.snap.types.values() if need.spec.types is None or t.name in need.spec.types),
                        key=lambda t: t.price, default=None)
