--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,91 @@
+"""A leader's judgement of silence: whose fault it is, and what it does about it."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+from helpers import TYPE, settings
+
+from winglift.config.script import Script
+from winglift.controller import Controller
+from winglift.model.leadership import Leadership, Role
+from winglift.model.machine import MachineState
+from winglift.node import Node
+
+
+class FakeElection:
+    def __init__(self) -> None:
+        self.me = Leadership(role=Role.LEADER, term=3, valid_until=1e12)
+        self.resigned = ""
+
+    async def resign(self, why):
+        self.resigned = why
+
+
+def leader(hears_peers: bool, machines: list[tuple[str, str, float | None]]):
+    """A leader at time 1000 that knows machines by name, zone and when they were last heard."""
+    deleted: list[str] = []
+    link = SimpleNamespace(images={}, peers={"node-1": None}, hears_anyone=lambda now: hears_peers)
+    made = Controller(settings(), None, None, FakeElection(), {"g4": TYPE}, link, Script())  # type: ignore[arg-type]
+    made.inventory.delete = lambda machine, why: deleted.append(machine.name)  # type: ignore[method-assign]
+    for name, zone, heard in machines:
+        machine = made.picture.adopt(name, "g4", zone, False, 980.0, 20.0)
+        machine.last_heard = heard
+        machine.state = MachineState.UP if heard is not None else MachineState.INHERITED
+    return made, deleted
+
+
+def check(made):
+    async def pass_once() -> None:
+        made._check_machines(1000.0)
+        await asyncio.sleep(0)
+    asyncio.run(pass_once())
+
+
+def test_a_lone_silent_machine_is_deleted_after_one_lease():
+    made, deleted = leader(True, [("vm-1", "a", 985.0), ("vm-2", "a", 999.5), ("vm-3", "a", 999.5)])
+    check(made)
+    assert deleted == ["vm-1"]
+
+
+def test_a_leader_that_hears_nobody_resigns_and_deletes_nothing():
+    """A node cut off from workers and nodes once led for 16 s and then deleted all 16 machines."""
+    made, deleted = leader(False, [(f"vm-{i}", "a", None) for i in range(6)])
+    check(made)
+    assert made.election.resigned and deleted == []
+
+
+def test_machines_silent_since_before_this_term_are_spared_while_most_of_the_zone_is():
+    made, deleted = leader(True, [(f"vm-{i}", "a", None) for i in range(6)] + [("vm-9", "b", 999.9)])
+    check(made)
+    assert deleted == []
+
+
+def test_the_end_of_a_cut_deletes_nothing():
+    made, deleted = leader(True, [(f"vm-{i}", "a", 985.0) for i in range(6)])
+    check(made)
+    for name in ("vm-0", "vm-1", "vm-2", "vm-3", "vm-4"):
+        made.picture.machines[name].last_heard = 999.9
+    check(made)
+    assert deleted == []
+
+
+def test_only_a_node_in_reach_of_another_ends_a_leaders_lease():
+    ended: list[str] = []
+
+    async def scenario(connected: bool) -> None:
+        node = Node(settings())
+        node.link.peers["node-1"] = SimpleNamespace(heard=SimpleNamespace(leads=True, term=1))  # type: ignore[assignment]
+        node.link.connected = lambda but="": connected  # type: ignore[method-assign]
+
+        async def succeed(name: str) -> None:
+            ended.append(name)
+        node.election.succeed = succeed  # type: ignore[method-assign]
+        node._on_gone("node-1")
+        await asyncio.sleep(0)
+
+    asyncio.run(scenario(False))
+    assert ended == []
+    asyncio.run(scenario(True))
+    assert ended == ["node-1"]
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -59,6 +59,13 @@
         leads = [p for p in self.peers.values() if p.heard is not None and p.heard.leads and p.fresh(now)]
         return max(leads, key=lambda p: p.heard.term if p.heard else 0, default=None)
 
+    def connected(self, but: str = "") -> bool:
+        """Is there an open connection to any other node?"""
+        return any(p.stream is not None and not p.stream.closed() for n, p in self.peers.items() if n != but)
+
+    def hears_anyone(self, now: float) -> bool:
+        return any(p.fresh(now) for p in self.peers.values())
+
     def in_zone(self, zone: str, now: float) -> str | None:
         """A node there that has been heard of steadily and just now."""
         found = [p.seed.node for p in self.peers.values()
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -15,7 +15,7 @@
 from .config.settings import Settings
 from .model.job import Job, JobState
 from .model.machine import Machine, MachineEvent, MachineState
-from .model.picture import START, TIDY, Picture, zone_counts
+from .model.picture import Picture, zone_counts
 from .model.task import PRESENT, Task, TaskState
 from .policy import plan as policy
 from .policy.reserve import reserve_size
@@ -219,10 +219,12 @@
     def _check_machines(self, now: float) -> None:
         workers = self.settings.settings.workers
         machines = list(self.picture.machines.values())
-        up = [m for m in machines if m.last_heard is not None]
-        silent = {m.name for m in up if now - (m.last_heard or 0) > 3 * workers.report_s}
-        if len(up) >= 2 and now - max((m.last_heard or 0) for m in up) > c.LEADER_DEAF_S:
-            asyncio.ensure_future(self.election.resign("hears no worker any more"))
+        # Machines of an earlier term count too: a new leader that hears none of them is cut off itself.
+        up = [m for m in machines if m.state is not MachineState.BOOTING]
+        silent = {m.name for m in up if now - heard_at(m) > 3 * workers.report_s}
+        if (len(up) >= 2 and now - max(heard_at(m) for m in up) > c.LEADER_DEAF_S
+                and self.link.peers and not self.link.hears_anyone(now)):
+            asyncio.ensure_future(self.election.resign("hears neither workers nor other nodes"))
             return
         for machine in machines:
             if machine.state is MachineState.DELETING:
@@ -234,8 +236,7 @@
     def _unfit(self, machine: Machine, silent: set[str], up: list[Machine], now: float) -> str | None:
         """Why a machine is to be deleted now, or None."""
         workers = self.settings.settings.workers
-        heard = machine.last_heard
-        quiet = now - (heard if heard is not None else machine.known_since)
+        quiet = now - heard_at(machine)
         if machine.state is MachineState.BOOTING:
             boot = machine.type.boot_s if machine.type else 60.0
             if now - machine.rented_at > max(c.BOOT_GIVE_UP * boot, c.FIRST_PAID_S):
@@ -359,10 +360,10 @@
             elif spec.priority is not Priority.PRODUCTION and task.state in PRESENT:
                 ran = now - task.running_since if task.running_since is not None else 0.0
                 lost = ran if spec.checkpoint_s <= 0 else min(ran, spec.save_s)
-                room.victims.append(policy.Victim(job_ref(task), task.index, spec.priority.rank, spec.team, spec.cpus,
+                room.victims.append(policy.Victim(task.job.ref, task.index, spec.priority.rank, spec.team, spec.cpus,
                                                   spec.gpus, spec.memory_gb, lost,
                                                   spec.tasks if spec.kind is Kind.GANG else 1,
-                                                  job_ref(task) in within))
+                                                  task.job.ref in within))
             else:
                 room.fixed += 1
         return room
@@ -481,8 +482,6 @@
                     self.picture.stop(task, grace, now, machine.drain_reason)
 
 
-def job_ref(task) -> str:  # type: ignore[no-untyped-def]
-    return task.job.ref
-
-
-__all__ = ["START", "TIDY", "Controller"]
+def heard_at(machine: Machine) -> float:
+    """When a machine was last heard under this term, or else when this leader began to wait for it."""
+    return machine.last_heard if machine.last_heard is not None else machine.known_since
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -71,9 +71,13 @@
             self.election.lose(f"{state.node} knows term {state.term}")
 
     def _on_gone(self, node: str) -> None:
-        """A peer's process seems to have ended. If it led, its lease need not be waited for."""
+        """A peer's process seems to have ended. If it led, its lease need not be waited for.
+
+        A filter between nodes refuses connections too: a node that it cut off from all others once ended a sound
+        leader's lease, led deaf, and deleted 16 machines. So a node does this only while another one is in reach.
+        """
         peer = self.link.peers[node]
-        if peer.heard is not None and peer.heard.leads:
+        if peer.heard is not None and peer.heard.leads and self.link.connected(but=node):
             asyncio.ensure_future(self.election.succeed(node))
 
     def _on_record(self, ref: str, version: int, record: records.JobRecord) -> None:
