--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -195,6 +195,13 @@
     assert p.make_plan(snap).stops == []
 
 
+def test_a_gang_that_waits_for_machines_keeps_its_part_of_the_limit():
+    gang = p.Need("wk-1", spec("wk-1", tasks=2, gpus=4.0, kind=Kind.GANG), [0, 1], 1000.0, 60.0, {})
+    small = p.Need("wk-2", spec("wk-2", tasks=4, priority=Priority.LOW), [0, 1, 2, 3], 1000.0, 60.0, {})
+    plan = p.make_plan(snapshot([room("m1")], [gang, small]))
+    assert plan.waiting["wk-1"] == "machines are booting" and plan.waiting["wk-2"] == "team limit"
+
+
 def test_work_due_now_starts_where_its_image_is():
     """Services once fetched for 16 to 25 s on an idle machine while arrays held the places beside their image."""
     busy = room("m1", images={"img"})
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -310,13 +310,14 @@
         room_left = self._team_room(need)
         placed = dict(need.zones)
         starts: list[tuple[int, str]] = []
+        promised = 0
         blocked_up = False
         must = self.must_start(need)
         for index in need.indices:
             if room_left <= 0:
-                self._spend(need, len(starts))
-                self._make_team_room(need, len(need.indices) - need.indices.index(index))
-                self._spend(need, -len(starts))
+                self._spend(need, len(starts) + promised)
+                self._make_team_room(need, len(need.indices) - len(starts) - promised)
+                self._spend(need, -len(starts) - promised)
                 self.plan.waiting[need.ref] = "team limit"
                 break
             room = None if blocked_up else self._best(need, self.up, placed)
@@ -326,6 +327,7 @@
                 better = self._best(need, warm, placed, soon=True) or self._preempt(need, placed, warm)
                 if better is not None:
                     self._promise(better, spec, placed)
+                    promised += 1
                     room_left -= 1
                     self.plan.waiting[need.ref] = "room is being made"
                     continue
@@ -341,6 +343,7 @@
                 room = self._preempt(need, placed, self.up)
             if room is not None:
                 self._promise(room, spec, placed)
+                promised += 1
                 room_left -= 1
                 self.plan.waiting[need.ref] = "room is being made"
                 continue
@@ -354,10 +357,12 @@
                 self.plan.waiting[need.ref] = "nothing to rent"
                 break
             self._promise(room, spec, placed)
+            promised += 1
             room_left -= 1
             self.plan.waiting[need.ref] = "machines are booting"
+        # Tasks that wait for promised room keep their part of the team's limit as well.
+        self._spend(need, len(starts) + promised)
         if starts:
-            self._spend(need, len(starts))
             self.plan.starts.append((need.ref, starts))
 
     def _promise(self, room: Room, spec: Submission, placed: dict[str, int]) -> None:
@@ -420,7 +425,6 @@
 
     def gang(self, need: Need) -> None:
         """All tasks find a place or none takes one, so that two gangs never hold halves."""
-        spec = need.spec
         if self._team_room(need) < len(need.indices):
             self._make_team_room(need, len(need.indices))
             self.plan.waiting[need.ref] = "team limit"
@@ -430,24 +434,20 @@
             self._spend(need, len(found))
             self.plan.starts.append((need.ref, list(zip(need.indices, [r.name for r in found], strict=True))))
             return
-        found = self._gang_rooms(need, self.up, soon=True)
-        if found is not None:
-            self.plan.waiting[need.ref] = "room is being made"
-            return
-        if self._gang_preempt(need):
-            self.plan.waiting[need.ref] = "room is being made"
-            return
-        if not self.must_start(need):
+        if self._gang_rooms(need, self.up, soon=True) is not None or self._gang_preempt(need):
+            why = "room is being made"
+        elif not self.must_start(need):
             self.plan.waiting[need.ref] = "slack"
             return
-        if self._gang_rooms(need, self.rooms_with_coming(), soon=True) is not None:
-            self.plan.waiting[need.ref] = "machines are booting"
-            return
-        if self.snap.may_rent and self._gang_rent(need):
-            self.plan.waiting[need.ref] = "machines are booting"
+        elif (self._gang_rooms(need, self.rooms_with_coming(), soon=True) is not None
+                or (self.snap.may_rent and self._gang_rent(need))):
+            why = "machines are booting"
+        else:
+            self.plan.waiting[need.ref] = "nothing to rent"
             return
-        self.plan.waiting[need.ref] = "nothing to rent"
-        del spec
+        self.plan.waiting[need.ref] = why
+        # The room under the team's limit is kept too, or its lower work takes it and is stopped again.
+        self._spend(need, len(need.indices))
 
     def rooms_with_coming(self) -> list[Room]:
         return self.up + self.coming
