--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -8,7 +8,7 @@
 from helpers import TYPE, settings
 
 from winglift.config.script import Script
-from winglift.controller import Controller
+from winglift.controller import Controller, gang_may_rent
 from winglift.model.leadership import Leadership, Role
 from winglift.model.machine import MachineState
 from winglift.node import Node
@@ -71,6 +71,12 @@
     assert deleted == []
 
 
+def test_a_gang_that_never_fits_does_not_rent_for_ever():
+    seconds = [t for t in range(0, 7200) if gang_may_rent(float(t), 45.0)]
+    assert seconds[:226] == [*range(0, 225), 600]
+    assert len(seconds) < 225 + 45 * 12
+
+
 def test_only_a_node_in_reach_of_another_ends_a_leaders_lease():
     ended: list[str] = []
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -169,6 +169,19 @@
     asyncio.run(scenario())
 
 
+def test_users_are_refused_before_the_sockets_run_out():
+    async def scenario() -> None:
+        async with world() as w:
+            node = w.nodes["node-0"][0]
+            node._server.open = 10_000
+            code, _, headers = await w.ask("POST", "/work", job("wk-1"))
+            assert code == 503 and headers["Retry-After"] == "1"
+            assert (await w.ask("GET", "/up"))[0] == 200
+            node._server.open = 0
+            assert (await w.ask("POST", "/work", job("wk-1")))[0] == 201
+    asyncio.run(scenario())
+
+
 def test_a_repeat_of_an_accepted_job_never_gets_422():
     """`forgotten`: the types may have changed since; a known job is looked up before 422 is said."""
     async def scenario() -> None:
--- a/winglift/api/handlers.py
+++ b/winglift/api/handlers.py
@@ -60,7 +60,14 @@
         return None
 
 
-class Submit(Base):
+class ForUsers(Base):
+    def prepare(self) -> None:
+        if self.node.crowded():
+            self.set_header("Connection", "close")
+            self.refuse(503, "too many connections", c.RETRY_AFTER_S)
+
+
+class Submit(ForUsers):
     async def post(self) -> None:
         try:
             spec = users.parse_submission(self.request.body)
@@ -78,7 +85,7 @@
             self.reply(status, reply)
 
 
-class Status(Base):
+class Status(ForUsers):
     async def get(self, text: str) -> None:
         await self.answer(text, self.node.jobs.status)
 
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -66,6 +66,9 @@
 DELETE_MOST = 100  # machines in one deletion, the protocol's most
 NO_CAPACITY_PAUSE_S = 8.0  # s until a refused type, zone and kind is asked for again
 CLOUD_PAUSE_S = 1.0  # s after a failed cloud call
+BOOT_DEFAULT_S = 60.0  # s; assumed while a machine's type is unknown
+GANG_PATIENCE = 5.0  # boot times for which a gang that found no room goes on renting
+GANG_AGAIN_S = 600.0  # s between two later tries of such a gang, each one boot time long
 BOOT_GIVE_UP = 2.5  # of the boot time; a machine still booting then is given back
 FIRST_PAID_S = 60.0  # s; the least that a rented machine costs
 
@@ -88,6 +91,7 @@
 
 # --- memory and sockets -----------------------------------------------------------------------
 SOCKET_SHARE = 0.8  # of the socket limit; beyond it users are refused at once
+IDLE_CONNECTION_S = 75.0  # s; users poll every 5 s, so a connection silent this long is given up
 POOL_PER_HOST = 8  # kept connections to one address
 POOL_IDLE_S = 20.0  # s; a kept connection unused this long is closed
 
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -238,7 +238,7 @@
         workers = self.settings.settings.workers
         quiet = now - heard_at(machine)
         if machine.state is MachineState.BOOTING:
-            boot = machine.type.boot_s if machine.type else 60.0
+            boot = machine.type.boot_s if machine.type else c.BOOT_DEFAULT_S
             if now - machine.rented_at > max(c.BOOT_GIVE_UP * boot, c.FIRST_PAID_S):
                 return "does not come up"
             return None
@@ -330,7 +330,11 @@
         run_s = self.picture.estimate_s(job) * c.ESTIMATE_PAD
         run_s = self.script.ask("estimate_s", run_s, spec.job_class, spec.estimate_s, run_s)
         due = sub_deadline(job.submitted, spec.due_s, run_s)
-        return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within)
+        may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.first_seen, self._boot_s())
+        return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent)
+
+    def _boot_s(self) -> float:
+        return max((t.boot_s for t in self.types.values()), default=c.BOOT_DEFAULT_S)
 
     def _room(self, machine: Machine, within: set[str], now: float) -> policy.Room | None:
         mtype = machine.type
@@ -370,7 +374,7 @@
 
     def _reserves(self, wall: float) -> list[policy.Reserve]:
         """Warm room for classes that must start sooner than a machine boots, from their recent arrivals."""
-        boot = max((t.boot_s for t in self.types.values()), default=0.0)
+        boot = self._boot_s()
         urgent = {o.job_class for o in self.settings.settings.objectives
                   if o.kind == "wait" and o.within_s is not None and o.within_s < boot}
         classes: dict[str, list[tuple[float, Submission]]] = {}
@@ -482,6 +486,11 @@
                     self.picture.stop(task, grace, now, machine.drain_reason)
 
 
+def gang_may_rent(waited_s: float, boot_s: float) -> bool:
+    """A gang that fits no zone would rent machines, see them returned idle and rent them again for ever."""
+    return waited_s < c.GANG_PATIENCE * boot_s or waited_s % c.GANG_AGAIN_S < boot_s
+
+
 def heard_at(machine: Machine) -> float:
     """When a machine was last heard under this term, or else when this leader began to wait for it."""
     return machine.last_heard if machine.last_heard is not None else machine.known_since
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -8,6 +8,7 @@
 import time
 
 from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
 
 from . import constants as c
 from .api.handlers import application
@@ -28,6 +29,20 @@
 log = logging.getLogger(__name__)
 
 
+class CountingServer(HTTPServer):
+    """Counts open connections, so that users are refused before the sockets run out."""
+
+    open = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        self.open += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        self.open -= 1
+        super().on_close(server_conn)
+
+
 class Node:
     def __init__(self, settings: Settings, script: Script | None = None) -> None:
         self.settings = settings
@@ -43,7 +58,7 @@
         self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
         self.reports = Reports(self)
         self._began = time.monotonic()
-        self._server: HTTPServer | None = None
+        self._server: CountingServer | None = None
 
     # -- what the parts ask --------------------------------------------------------------------
 
@@ -98,6 +113,11 @@
             return "the state service refuses this node"
         return None
 
+    def crowded(self) -> bool:
+        """Are so many connections open that reports, peers and the services might soon find no socket?"""
+        limit = self.settings.settings.machine_limits.sockets * c.SOCKET_SHARE
+        return self._server is not None and self._server.open > limit
+
     def _on_change(self) -> None:
         """The role has changed: begin or end the leader's work."""
         if self.election.me.role is Role.LEADER:
@@ -125,7 +145,8 @@
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
     async def run(self) -> None:
-        server = self._server = HTTPServer(application(self), max_body_size=c.MAX_BODY, idle_connection_timeout=75.0)
+        server = self._server = CountingServer(application(self), max_body_size=c.MAX_BODY,
+                                               idle_connection_timeout=c.IDLE_CONNECTION_S)
         host, port = parse_addr(self.settings.client_listen, "client_listen")
         server.listen(port, host)
         back_host, back_port = parse_addr(self.settings.back, "back")
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -103,7 +103,7 @@
     run_s: float
     zones: dict[str, int]  # tasks it has, per zone
     within: bool = False  # within its team's guarantee
-    left: list[int] = field(default_factory=list)
+    may_rent: bool = True  # a gang that has not come together for long rents only now and then
 
 
 @dataclass(slots=True)
@@ -440,7 +440,7 @@
             self.plan.waiting[need.ref] = "slack"
             return
         elif (self._gang_rooms(need, self.rooms_with_coming(), soon=True) is not None
-                or (self.snap.may_rent and self._gang_rent(need))):
+                or (self.snap.may_rent and need.may_rent and self._gang_rent(need))):
             why = "machines are booting"
         else:
             self.plan.waiting[need.ref] = "nothing to rent"
