--- /dev/null
+++ b/tests/test_batcher.py
@@ -0,0 +1,124 @@
+"""The write batcher against a state service that refuses, contradicts or does not answer."""
+
+from __future__ import annotations
+
+import asyncio
+
+from helpers import TYPE, settings, spec
+
+from winglift.model.leadership import Leadership, Role
+from winglift.model.machine import MachineState
+from winglift.model.picture import Picture
+from winglift.model.task import TaskState
+from winglift.store import records
+from winglift.store.batcher import Batcher
+from winglift.store.client import Malformed, Refused, Unknown
+from winglift.wire import state as wire
+
+
+class FakeState:
+    """Takes at most `limit` changes; `outcomes` are played first."""
+
+    def __init__(self) -> None:
+        self.limit = 100
+        self.outcomes: list[object] = []
+        self.sizes: list[int] = []
+        self.keys: dict[str, tuple[int, bytes]] = {}
+        self.revision = 100
+
+    async def commit(self, txn, max_wait=0.0):
+        self.sizes.append(len(txn.changes))
+        outcome = self.outcomes.pop(0) if self.outcomes else None
+        if isinstance(outcome, Exception) and not isinstance(outcome, Unknown):
+            raise outcome
+        if len(txn.changes) > self.limit:
+            raise Malformed("too many")
+        if isinstance(outcome, wire.Conflict):
+            return outcome
+        failed = [x.key for x in txn.conditions if x.key != "leader" and self.keys.get(x.key, (0, b""))[0] != x.version]
+        if failed:
+            return wire.Conflict(failed, self.revision)
+        self.revision += 1
+        for put in txn.changes:
+            self.keys[put.key] = (self.revision, records.encode(put.value))
+        if isinstance(outcome, Unknown):
+            raise outcome
+        return wire.Committed(self.revision)
+
+    async def get(self, key):
+        found = self.keys.get(key)
+        return None if found is None else wire.Item(key, found[1], found[0])  # type: ignore[arg-type]
+
+
+def prepared(jobs=4):
+    state = FakeState()
+    picture = Picture(settings(), {"g4": TYPE}, 1)
+    batcher = Batcher(state, settings().settings.state, picture, Leadership(Role.LEADER, 1))  # type: ignore[arg-type]
+    machine = picture.adopt("vm-1", "g4", "a", False, 0.0, 0.0)
+    machine.state = MachineState.UP
+    for i in range(jobs):
+        record = records.fresh(spec(f"wk-{i}", tasks=1), 0.0)
+        state.keys[f"job/wk-{i}"] = (i + 1, records.encode(record))
+        job = picture.apply_record(f"wk-{i}", i + 1, record, 0.0)
+        assert picture.propose(job, [(0, machine)], 0.0)
+    return state, picture, batcher
+
+
+def settle(batcher):
+    async def run() -> None:
+        for _ in range(8):
+            batcher.flush(1e9)
+            while batcher._running:
+                await asyncio.sleep(0.01)
+    asyncio.run(run())
+
+
+def states(picture):
+    return {t.state for j in picture.jobs.values() for t in j.active.values()}
+
+
+def test_changes_of_several_jobs_go_in_one_transaction():
+    state, picture, batcher = prepared()
+    settle(batcher)
+    assert state.sizes == [4] and states(picture) == {TaskState.COMMITTED}
+
+
+def test_a_batch_that_breaks_the_services_limits_is_made_smaller():
+    """With smaller limits than the settings name, the same batch was sent for ever and nothing started."""
+    state, picture, batcher = prepared()
+    state.limit = 1
+    settle(batcher)
+    assert max(state.sizes[-2:]) == 1 and states(picture) == {TaskState.COMMITTED}
+
+
+def test_a_refused_write_is_repeated_and_starts_wait_for_it():
+    state, picture, batcher = prepared()
+    state.outcomes = [Refused("429")]
+    batcher_states = states(picture)
+    settle(batcher)
+    assert batcher_states == {TaskState.PROPOSED} and states(picture) == {TaskState.COMMITTED}
+
+
+def test_a_write_without_an_answer_is_read_and_its_places_are_kept():
+    state, picture, batcher = prepared()
+    state.outcomes = [Unknown("lost")]
+    settle(batcher)
+    assert states(picture) == {TaskState.COMMITTED}
+    assert all(job.active[0].attempt == 1 for job in picture.jobs.values())
+
+
+def test_a_cancellation_by_another_node_wins_over_a_start():
+    state, picture, batcher = prepared(2)
+    cancelled = records.fresh(spec("wk-1", tasks=1), 0.0)
+    cancelled.state = "c"
+    state.keys["job/wk-1"] = (50, records.encode(cancelled))
+    settle(batcher)
+    assert picture.jobs["wk-0"].active[0].state is TaskState.COMMITTED
+    assert "wk-1" not in picture.jobs or not picture.jobs["wk-1"].active
+
+
+def test_a_leader_whose_key_is_gone_commits_nothing_more():
+    state, picture, batcher = prepared()
+    state.outcomes = [wire.Conflict(["leader"])]
+    settle(batcher)
+    assert batcher.lost and state.sizes == [4] and states(picture) == {TaskState.PROPOSED}
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -16,7 +16,7 @@
 from ..model.task import TaskEvent, TaskState
 from ..wire import state as wire
 from . import records
-from .client import LeaseGone, Refused, StateClient, Unknown
+from .client import LeaseGone, Malformed, Refused, StateClient, Unknown
 
 log = logging.getLogger(__name__)
 
@@ -37,6 +37,7 @@
         self.limits = limits
         self.picture = picture
         self.me = me
+        self.most_ops = limits.txn_ops
         self.lost = False  # the leader key has another revision
         self._running: set[asyncio.Task] = set()
         self.most_bytes = int(limits.value_kb * 1024)
@@ -54,7 +55,7 @@
         while due and len(self._running) < c.COMMIT_PARALLEL:
             batch: list[tuple[Job, records.JobRecord]] = []
             size = 0
-            while due and len(batch) < self.limits.txn_ops:
+            while due and len(batch) < self.most_ops:
                 job = due[0]
                 record = pack(job)
                 length = len(msgspec.json.encode(record))
@@ -80,7 +81,12 @@
         try:
             result = await self.state.commit(wire.Transaction(conditions, changes), max_wait=3.0)
         except (Refused, LeaseGone) as err:
-            log.debug("write refused: %s", err)
+            if isinstance(err, Malformed):
+                # The service's limits may be smaller than the settings say: the same batch would never get through.
+                self.most_ops = max(1, len(batch) // 2)
+                log.warning("write of %d records refused, fewer at once from now on: %s", len(batch), err)
+            else:
+                log.debug("write refused: %s", err)
             self._again(batch, levels)
             await asyncio.sleep(0.1)
         except Unknown as err:
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -24,6 +24,10 @@
     """The request was certainly not executed: 429, 503, no connection, or no budget left."""
 
 
+class Malformed(Refused):
+    """The service says that the request breaks a limit of its own."""
+
+
 class Unknown(Exception):
     """No answer: the request may have been executed, or may yet be."""
 
@@ -179,6 +183,8 @@
             return _decode(_conflict, reply.body)
         if reply.status == 400 and b"lease" in reply.body:
             raise LeaseGone
+        if reply.status in (400, 413):
+            raise Malformed(f"state service: {reply.status} {reply.body[:200]!r}")
         raise Refused(f"state service: {reply.status} {reply.body[:200]!r}")
 
     async def grant(self, ttl_s: float) -> int:
