--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -71,6 +71,16 @@
     assert deleted == []
 
 
+def test_silence_during_an_outage_is_not_held_against_machines():
+    made, deleted = leader(True, [(f"vm-{i}", "a", 960.0) for i in range(6)] + [("vm-9", "b", 999.9)])
+    made._entitled_since = 999.0
+    check(made)
+    assert deleted == []
+    made._entitled_since = 960.0
+    check(made)
+    assert len(deleted) == 6
+
+
 def test_a_gang_that_never_fits_does_not_rent_for_ever():
     seconds = [t for t in range(0, 7200) if gang_may_rent(float(t), 45.0)]
     assert seconds[:226] == [*range(0, 225), 600]
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -57,6 +57,7 @@
         self._last_plan = 0.0
         self._next_move = 0.0
         self._next_images = 0.0
+        self._entitled_since: float | None = None
         self._cut_until: dict[str, float] = {}
         self.picture.known_images = dict(link.images)
         self._last_report = time.monotonic()
@@ -182,8 +183,12 @@
             if self.batcher.lost or self.picture.superseded:
                 self.election.lose("another node holds the leader key")
                 return
-            if self.loaded and self.me.entitled(time.monotonic()):
+            if not self.me.entitled(time.monotonic()):
+                self._entitled_since = None
+            elif self.loaded:
                 began = time.monotonic()
+                if self._entitled_since is None:
+                    self._entitled_since = began
                 self._step(began)
                 took = time.monotonic() - began
                 if took > 0.1:
@@ -236,7 +241,9 @@
     def _unfit(self, machine: Machine, silent: set[str], up: list[Machine], now: float) -> str | None:
         """Why a machine is to be deleted now, or None."""
         workers = self.settings.settings.workers
-        quiet = now - heard_at(machine)
+        # After an outage or a standstill of this node, silence counts anew: once 15 machines that others had kept
+        # alive through an outage of 37 s were deleted in the moment it ended.
+        quiet = now - max(heard_at(machine), self._entitled_since or 0.0)
         if machine.state is MachineState.BOOTING:
             boot = machine.type.boot_s if machine.type else c.BOOT_DEFAULT_S
             if now - machine.rented_at > max(c.BOOT_GIVE_UP * boot, c.FIRST_PAID_S):
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -63,7 +63,8 @@
     # -- what the parts ask --------------------------------------------------------------------
 
     def _mine(self) -> back.PeerState:
-        leads = self.controller is not None and self.election.me.role is Role.LEADER
+        # A leader in doubt goes on listening: reports that others hand over tell it who is alive.
+        leads = self.controller is not None and self.election.me.role in (Role.LEADER, Role.DOUBTFUL)
         return back.PeerState(self.known_term(), leads, self.state.health() is Health.GOOD, self.settings.node)
 
     def known_term(self) -> int:
