Wait longer for machines behind a cut or a node out of hearing

Cause: in a cut of 45 s between zones the leader deleted the other zone's live machines after three leases, though followers kept them alive. Ruled out: dead machines, which the list shows as failed after 30 s. A node out of hearing now stretches one lease to three.

--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -66,6 +66,9 @@
     def hears_anyone(self, now: float) -> bool:
         return any(p.fresh(now) for p in self.peers.values())
 
+    def hears_all(self, now: float) -> bool:
+        return all(p.fresh(now) for p in self.peers.values())
+
     def in_zone(self, zone: str, now: float) -> str | None:
         """A node there that has been heard of steadily and just now."""
         found = [p.seed.node for p in self.peers.values()
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -46,7 +46,9 @@
 CONTACTS_MOST = 2000  # workers remembered so; far above the machines of a deployment
 CUT_MEMORY_S = 20.0  # s after a cut in which its zone's silence still counts as the cut's
 SILENT_SHARE = 1.0  # of lease_s; after this much silence a lone machine is deleted
-SILENT_ZONE_SHARE = 3.0  # of lease_s; the same while most of its zone is silent: then the cut is ours
+SILENT_PEER_SHARE = 3.0  # of lease_s; the same while a node that can't be heard may be renewing its lease
+SILENT_ZONE_SHARE = 9.0  # of lease_s; the same while most of its zone is silent: its machines live on behind a cut,
+# (and those that died are listed as failed after some 30 s)
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
 TAKEN_SILENT_S = 1.5  # s of silence after a notice ran out until the machine counts as taken
 CANCEL_DELETE_SHARE = 0.55  # of cancel_s; then a machine still holding a cancelled task is deleted
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -266,7 +266,8 @@
         # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
         # nine machines at a time.
         cut = now < self._cut_until.get(machine.zone, 0.0)
-        if quiet > workers.lease_s * (c.SILENT_ZONE_SHARE if cut else c.SILENT_SHARE):
+        share = c.SILENT_SHARE if self.link.hears_all(now) else c.SILENT_PEER_SHARE
+        if quiet > workers.lease_s * (c.SILENT_ZONE_SHARE if cut else share):
             return f"silent for {quiet:.1f} s"
         return None
 
