--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -67,7 +67,7 @@
 def settle(batcher):
     async def run() -> None:
         for _ in range(8):
-            batcher.flush(1e9)
+            batcher.flush()
             while batcher._running:
                 await asyncio.sleep(0.01)
     asyncio.run(run())
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -60,7 +60,6 @@
         self._entitled_since: float | None = None
         self._cut_until: dict[str, float] = {}
         self.picture.known_images = dict(link.images)
-        self._last_report = time.monotonic()
 
     def start(self) -> None:
         self._tasks = [asyncio.ensure_future(self._guard(job)) for job in
@@ -148,7 +147,6 @@
     def on_report(self, report: w.Report) -> list[w.Command] | None:
         """Commands for a worker, or none while this node may not command: the answer renews its lease all the same."""
         now = time.monotonic()
-        self._last_report = now
         if not self.loaded:
             return []
         commands = self.picture.on_report(report, now)
@@ -204,7 +202,7 @@
             self._check_machines(now)
             plan = policy.make_plan(self.snapshot(now))
             self._apply(plan, now)
-        self.batcher.flush(now)
+        self.batcher.flush()
         if now >= self._next_images:
             self._next_images = now + c.IMAGES_EVERY_S
             self.link.tell_images({m.name: dict(m.images) for m in picture.machines.values() if m.images})
--- a/winglift/model/job.py
+++ b/winglift/model/job.py
@@ -7,7 +7,7 @@
 
 from .. import constants as c
 from ..wire.users import Kind, Submission
-from .task import Task, TaskState
+from .task import Task
 
 
 class JobState(Enum):
@@ -82,10 +82,7 @@
     cancel_seen: float | None = None
     gang_started: bool = False  # the present attempt has been seen running
     gang_broken: bool = False
-    gang_stop_at: float | None = None
     first_seen: float = 0.0
-    run_s: list[float] = field(default_factory=list)  # run times of its finished tasks
-    tidy_at: float = 0.0  # bookkeeping alone is written no sooner than this
 
     @property
     def kind(self) -> Kind:
@@ -118,10 +115,3 @@
 
     def unfinished(self) -> int:
         return self.spec.tasks - len(self.done)
-
-    def held(self) -> list[Task]:
-        """Tasks that count: on a machine, or possibly so."""
-        return [t for t in self.active.values() if t.state is not TaskState.GONE]
-
-    def deadline(self) -> float | None:
-        return None if self.spec.due_s is None else self.submitted + self.spec.due_s
--- a/winglift/model/machine.py
+++ b/winglift/model/machine.py
@@ -61,7 +61,6 @@
     session: int = 0
     seq: int = -1
     last_heard: float | None = None
-    up_since: float | None = None
     taken_at: float | None = None  # when a notice runs out
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
     strangers: dict[tuple[str, int], int] = field(default_factory=dict)  # on it, in no record: attempt
@@ -69,10 +68,6 @@
     errors: int = 0  # failed tasks in a row
     idle_since: float | None = None
     drain_reason: str = ""
-    listed_failed: bool = False
-    last_direct: float = 0.0
-    retry_delete_at: float = 0.0
-    slow: float = 1.0
 
     def move(self, event: MachineEvent) -> MachineState:
         """The one place where a machine changes its state."""
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -82,14 +82,14 @@
                     log.info("%s: the record names %s, not %s: another node leads", task.name, name, task.machine.name)
                     self.superseded = True
                     return job
-                self._drop(task, TaskEvent.REJECT, now)
+                self.drop(task, TaskEvent.REJECT, now)
             if name in self.deleted:
                 job.mark(TIDY)
                 continue
             self._inherit(job, index, name, attempt, now)
         for task in list(job.active.values()):
             if task.state is TaskState.PROPOSED and task.index not in loaded.places:
-                self._drop(task, TaskEvent.REJECT, now)
+                self.drop(task, TaskEvent.REJECT, now)
         if loaded.state is not JobState.OPEN and job.is_open:
             job.move(_RECORDED_END[loaded.state])
             if job.state is JobState.CANCELLED:
@@ -112,7 +112,7 @@
         task.machine.tasks[task.job.ref, task.index] = task
         self.ledger.add(task.job.spec)
 
-    def _drop(self, task: Task, event: TaskEvent, now: float) -> None:
+    def drop(self, task: Task, event: TaskEvent, now: float) -> None:
         """The task is proven off its machine, or never got there."""
         task.move(event, now)
         self._let_go(task, now)
@@ -127,7 +127,6 @@
             task.machine.idle_since = now
         if not job.active:
             job.gang_started = job.gang_broken = False
-            job.gang_stop_at = None
         if job.recorded.get(task.index) == (task.machine.name, task.attempt):
             job.mark(TIDY)
         self.changed = True
@@ -169,7 +168,7 @@
                 log.warning("%s/%d: not placed on %s: %s", job.ref, index, machine.name, why)
                 if job.kind is Kind.GANG:
                     for task in made:
-                        self._drop(task, TaskEvent.REJECT, now)
+                        self.drop(task, TaskEvent.REJECT, now)
                     return False
                 continue
             task = Task(job, index, attempt, machine, TaskState.PROPOSED, now)
@@ -185,11 +184,10 @@
     def stop(self, task: Task, grace_s: float, now: float, reason: str) -> None:
         """Ask for a task to be stopped. A task that was never sent is simply let go."""
         if task.state is TaskState.COMMITTED and task.job.kind is not Kind.GANG:
-            self._drop(task, TaskEvent.MACHINE_GONE, now)
+            self.drop(task, TaskEvent.MACHINE_GONE, now)
             return
         if task.stop_grace is None or grace_s < task.stop_grace:
             task.stop_grace = grace_s
-            task.stop_reason = reason
             log.debug("stop %s on %s: %s, grace %.1f s", task.name, task.machine.name, reason, grace_s)
             self.on_stop(task)
             self.changed = True
@@ -197,7 +195,7 @@
     def stop_all(self, job: Job, now: float, reason: str, grace_s: float = 0.0) -> None:
         for task in list(job.active.values()):
             if task.state is TaskState.COMMITTED:
-                self._drop(task, TaskEvent.MACHINE_GONE, now)
+                self.drop(task, TaskEvent.MACHINE_GONE, now)
             else:
                 self.stop(task, grace_s, now, reason)
 
@@ -259,7 +257,6 @@
         machine.addr = report.addr
         if machine.state in (MachineState.BOOTING, MachineState.INHERITED):
             machine.move(MachineEvent.REPORT)
-            machine.up_since = now
             machine.idle_since = now
             self.changed = True
         if report.notice_s is not None and machine.taken_at is None:
@@ -412,7 +409,7 @@
         self.deleted[machine.name] = now
         for task in list(machine.tasks.values()):
             job = task.job
-            self._drop(task, TaskEvent.MACHINE_GONE, now)
+            self.drop(task, TaskEvent.MACHINE_GONE, now)
             if job.kind is Kind.GANG:
                 self.break_gang(job, now, f"{machine.name} is gone")
         self.machines.pop(machine.name, None)
--- a/winglift/model/task.py
+++ b/winglift/model/task.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
@@ -95,8 +95,6 @@
     running_since: float | None = None
     stop_grace: float | None = None  # set once the task is told to stop
     stop_at: float = 0.0  # when it was last told so directly
-    stop_reason: str = ""
-    flags: set[str] = field(default_factory=set)
 
     @property
     def name(self) -> str:
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -12,7 +12,7 @@
 from ..config.settings import State
 from ..model.job import Job
 from ..model.leadership import Leadership
-from ..model.picture import TIDY, Picture
+from ..model.picture import Picture
 from ..model.task import TaskEvent, TaskState
 from ..wire import state as wire
 from . import records
@@ -45,12 +45,11 @@
     def fits(self, job: Job) -> bool:
         return len(msgspec.json.encode(pack(job))) <= self.most_bytes - c.RECORD_SPARE_BYTES
 
-    def flush(self, now: float) -> None:
+    def flush(self) -> None:
         """Start as many transactions as there are changes and free slots. Urgent changes go first."""
         if len(self._running) >= c.COMMIT_PARALLEL or self.lost:
             return
-        due = [j for j in self.picture.jobs.values()
-               if j.dirty and not j.writing and (j.dirty < TIDY or j.is_open is False or now >= j.tidy_at)]
+        due = [j for j in self.picture.jobs.values() if j.dirty and not j.writing]
         due.sort(key=lambda j: j.dirty)
         while due and len(self._running) < c.COMMIT_PARALLEL:
             batch: list[tuple[Job, records.JobRecord]] = []
@@ -138,4 +137,4 @@
         """Take back proposals that would not fit into the record."""
         proposed = [t for t in job.active.values() if t.state is TaskState.PROPOSED]
         for task in proposed[keep:]:
-            self.picture._drop(task, TaskEvent.REJECT, now)
+            self.picture.drop(task, TaskEvent.REJECT, now)
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -70,7 +70,6 @@
         self._nodes = nodes
         self._reads = Budget(limits.rps, limits.rps)
         self._writes = Budget(limits.write_rps, limits.write_rps)
-        self._last_good = time.monotonic()
         self._bad_since: float | None = None
         self._next_probe = 0.0
         self.set_leading(False)
@@ -99,7 +98,6 @@
             if self._bad_since is not None and now - self._bad_since >= c.STATE_DOWN_AFTER_S:
                 log.info("state service answers again after %.1f s", now - self._bad_since)
             self._bad_since = None
-            self._last_good = now
         elif self._bad_since is None:
             self._bad_since = now
 
