--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -50,7 +50,6 @@
         self._on_state = on_state
         self._on_gone = on_gone
         self.images: dict[str, dict[str, float]] = {}  # what a leader last told about its machines
-        self.last_heard: dict[str, float] = {}  # silent machines, and when a leader last heard of them
         self._request = 0
         self._keepers: list[asyncio.Task] = []
 
@@ -95,9 +94,6 @@
                     self._on_job(back.parse_job(body))
                 elif header.type is back.FrameType.IMAGES:
                     self.images = back.parse_images(body)
-                elif header.type is back.FrameType.SILENCE:
-                    now = time.monotonic()
-                    self.last_heard = {m: now - s for m, s in back.parse_silence(body).items() if s >= 0}
                 elif header.type is back.FrameType.RELAY:
                     asyncio.ensure_future(self._answer(stream, header.request, body))
         except StreamClosedError:
@@ -224,12 +220,6 @@
         for peer in self.peers.values():
             self._tell(peer, back.FrameType.IMAGES, body)
 
-    def tell_silence(self, silence: dict[str, float]) -> None:
-        """A successor need not begin to wait anew for machines that have been silent for long."""
-        body = back.pack_silence(silence)
-        for peer in self.peers.values():
-            self._tell(peer, back.FrameType.SILENCE, body)
-
     @staticmethod
     def _tell(peer: Peer, kind: back.FrameType, body: bytes) -> None:
         if peer.stream is None or peer.stream.closed():
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -47,7 +47,6 @@
 CUT_MEMORY_S = 20.0  # s after a cut in which its zone's silence still counts as the cut's
 SILENT_SHARE = 1.0  # of lease_s; after this much silence a lone machine is deleted
 SILENT_PEER_SHARE = 3.0  # of lease_s; the same while a node that can't be heard may be renewing its lease
-HANDOVER_SHARE = 0.5  # of lease_s; a new leader deletes nothing for silence before this
 SILENT_ZONE_SHARE = 9.0  # of lease_s; the same while most of its zone is silent: its machines live on behind a cut,
 # (and those that died are listed as failed after some 30 s)
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -60,8 +60,6 @@
         self._entitled_since: float | None = None
         self._cut_until: dict[str, float] = {}
         self.picture.known_images = dict(link.images)
-        self.picture.known_heard = dict(link.last_heard)
-        self._ever_entitled = False
 
     def start(self) -> None:
         self._tasks = [asyncio.ensure_future(self._guard(job)) for job in
@@ -188,9 +186,7 @@
             elif self.loaded:
                 began = time.monotonic()
                 if self._entitled_since is None:
-                    # A fresh leader takes over its predecessor's count; one that was in doubt begins anew.
-                    self._entitled_since = began if self._ever_entitled else 0.0
-                    self._ever_entitled = True
+                    self._entitled_since = began
                 self._step(began)
                 took = time.monotonic() - began
                 if took > 0.1:
@@ -209,10 +205,6 @@
         self.batcher.flush()
         if now >= self._next_images:
             self._next_images = now + c.IMAGES_EVERY_S
-            known = [m for m in picture.machines.values() if m.state is not MachineState.BOOTING]
-            quiet = {m.name: now - heard_at(m) for m in known}
-            limit = 3 * self.settings.settings.workers.report_s
-            self.link.tell_silence({name: s for name, s in quiet.items() if s > limit})
             self.link.tell_images({m.name: dict(m.images) for m in picture.machines.values() if m.images})
 
     def _check_jobs(self, now: float) -> None:
@@ -273,8 +265,6 @@
         # nine machines at a time.
         cut = now < self._cut_until.get(machine.zone, 0.0)
         share = c.SILENT_SHARE if self.link.hears_all(now) else c.SILENT_PEER_SHARE
-        if now - self.began < workers.lease_s * c.HANDOVER_SHARE:
-            return None  # workers need a while to find a new leader
         if quiet > workers.lease_s * (c.SILENT_ZONE_SHARE if cut else share):
             return f"silent for {quiet:.1f} s"
         return None
--- a/winglift/wire/back.py
+++ b/winglift/wire/back.py
@@ -25,7 +25,6 @@
     RELAYED = 3  # the leader's answer to it
     JOB = 4  # a job record that this node has just committed
     IMAGES = 5  # which machines hold which images, from the leader to those that may follow it
-    SILENCE = 6  # for how long the leader has not heard of machines
 
 
 class BadFrame(ValueError):
@@ -121,23 +120,6 @@
     return found
 
 
-def pack_silence(silence: dict[str, float]) -> bytes:
-    return _COUNT.pack(len(silence)) + b"".join(_pack_text(m) + _SIZE.pack(s) for m, s in silence.items())
-
-
-def parse_silence(body: bytes) -> dict[str, float]:
-    found: dict[str, float] = {}
-    try:
-        (count,), at = _COUNT.unpack_from(body), _COUNT.size
-        for _ in range(count):
-            machine, at = _parse_text(body, at)
-            (found[machine],) = _SIZE.unpack_from(body, at)
-            at += _SIZE.size
-    except (struct.error, UnicodeDecodeError):
-        raise BadFrame("bad silence frame") from None
-    return found
-
-
 def _pack_text(text: str) -> bytes:
     data = text.encode()
     return _COUNT.pack(len(data)) + data
