--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -89,6 +89,13 @@
     assert deleted == []
 
 
+def test_a_machine_that_only_the_lagging_list_names_promises_no_room():
+    """A successor once counted on machines that its predecessor had deleted, and rented nothing meanwhile."""
+    made, _ = leader(True, [("vm-1", "a", None), ("vm-2", "a", 999.5)])
+    assert [r.name for r in made.snapshot(983.0).rooms] == ["vm-1", "vm-2"]
+    assert [r.name for r in made.snapshot(1000.0).rooms] == ["vm-2"]
+
+
 def test_a_gang_that_never_fits_does_not_rent_for_ever():
     seconds = [t for t in range(0, 7200) if gang_may_rent(float(t), 45.0)]
     assert seconds[:226] == [*range(0, 225), 600]
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -50,6 +50,7 @@
 SILENT_ZONE_SHARE = 9.0  # of lease_s; the same while most of its zone is silent: its machines live on behind a cut,
 # (and those that died are listed as failed after some 30 s)
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
+INHERITED_TRUST_S = 5.0  # s in which a machine that runs by the list finds a new leader; later it promises no room
 TAKEN_SILENT_S = 1.5  # s of silence after a notice ran out until the machine counts as taken
 CANCEL_DELETE_SHARE = 0.55  # of cancel_s; then a machine still holding a cancelled task is deleted
 STOP_REPEAT_S = 1.0  # s between two direct stops of the same task
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -346,7 +346,11 @@
         mtype = machine.type
         if mtype is None or machine.strangers:
             return None
-        if machine.state is MachineState.BOOTING or (machine.state is MachineState.INHERITED and not machine.tasks):
+        inherited = machine.state is MachineState.INHERITED and not machine.tasks
+        if inherited and now - machine.known_since > c.INHERITED_TRUST_S:
+            # A running machine would have reported by now: the lagging list still names what is gone.
+            return None
+        if machine.state is MachineState.BOOTING or inherited:
             left = max(1.0, mtype.boot_s - (now - machine.rented_at))
             return policy.Room(machine.name, mtype, machine.zone, machine.spot, mtype.cpus, mtype.gpus,
                                mtype.memory_gb, ready_in=left)
