--- /dev/null
+++ b/run.py
@@ -0,0 +1,13 @@
+"""Entry point of the deploy file: puts the built dependencies on the path and starts the daemon."""
+
+import os
+import sys
+
+ROOT = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(ROOT, "target", "deps"))
+sys.path.insert(0, ROOT)
+
+from winglift.cli import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/winglift/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP handlers for users and workers."""
--- /dev/null
+++ b/winglift/api/handlers.py
@@ -0,0 +1,151 @@
+"""HTTP handlers of a node: users, workers and the health check."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+import msgspec
+from tornado import httputil, web
+from tornado.httputil import HTTPServerRequest
+
+from .. import constants as c
+from ..store.records import BadRecord
+from ..wire import users
+from .jobs import NeverRuns, NotNow
+
+if TYPE_CHECKING:
+    from ..node import Node
+
+log = logging.getLogger(__name__)
+
+
+class Base(web.RequestHandler):
+    node: Node
+
+    def initialize(self, node: Node) -> None:
+        self.node = node
+
+    def check_etag_header(self) -> bool:
+        return False
+
+    def compute_etag(self) -> None:
+        return None
+
+    def set_default_headers(self) -> None:
+        self.set_header("Content-Type", "application/json")
+
+    def reply(self, status: int, value: object) -> None:
+        self.set_status(status)
+        self.finish(value if isinstance(value, bytes) else msgspec.json.encode(value))
+
+    def refuse(self, status: int, why: str, retry_after: int | None = None) -> None:
+        if retry_after is not None:
+            self.set_header("Retry-After", str(retry_after))
+        self.reply(status, {"error": why})
+
+    def write_error(self, status_code: int, **kwargs: object) -> None:
+        if status_code == 500:
+            self.set_header("Retry-After", str(c.RETRY_AFTER_S))
+        self.finish(msgspec.json.encode({"error": httputil.responses.get(status_code, "error").lower()}))
+
+    def log_exception(self, typ, value, tb):  # type: ignore[no-untyped-def]
+        if not isinstance(value, web.HTTPError):
+            log.error("%s %s", self.request.method, self.request.path, exc_info=(typ, value, tb))
+
+    def ref(self, text: str) -> str | None:
+        if users.is_ref(text):
+            return text
+        self.refuse(400, "ref: expected the form wk-000412")
+        return None
+
+
+class Submit(Base):
+    async def post(self) -> None:
+        try:
+            spec = users.parse_submission(self.request.body)
+            status, reply = await self.node.jobs.submit(spec)
+        except users.Invalid as err:
+            self.refuse(400, str(err))
+        except NeverRuns as err:
+            self.refuse(422, str(err))
+        except NotNow as err:
+            self.refuse(503, str(err), err.retry_after)
+        except BadRecord as err:
+            log.error("record: %s", err)
+            self.refuse(503, "record can't be read", c.RETRY_AFTER_S)
+        else:
+            self.reply(status, reply)
+
+
+class Status(Base):
+    async def get(self, text: str) -> None:
+        await self.answer(text, self.node.jobs.status)
+
+    async def answer(self, text: str, ask) -> None:  # type: ignore[no-untyped-def]
+        ref = self.ref(text)
+        if ref is None:
+            return
+        try:
+            reply = await ask(ref)
+        except NotNow as err:
+            self.refuse(503, str(err), err.retry_after)
+        except BadRecord as err:
+            log.error("record of %s: %s", ref, err)
+            self.refuse(503, "record can't be read", c.RETRY_AFTER_S)
+        else:
+            if reply is None:
+                self.refuse(404, "no such job")
+            else:
+                self.reply(200, reply)
+
+
+class Cancel(Status):
+    async def get(self, text: str) -> None:
+        raise web.HTTPError(405)
+
+    async def post(self, text: str) -> None:
+        await self.answer(text, self.node.jobs.cancel)
+
+
+class Up(Base):
+    def get(self) -> None:
+        why = self.node.not_up()
+        if why is None:
+            self.reply(200, {"up": True})
+        else:
+            self.refuse(503, why, c.RETRY_AFTER_S)
+
+
+class ReportIn(Base):
+    async def post(self) -> None:
+        status, body = await self.node.reports.handle(self.request.body)
+        self.reply(status, body)
+
+
+class NotFound(Base):
+    def prepare(self) -> None:
+        raise web.HTTPError(404)
+
+
+def _quiet(handler: web.RequestHandler) -> None:
+    """No line per request: a day has hundreds of thousands."""
+    if handler.get_status() >= 500 and log.isEnabledFor(logging.DEBUG):
+        request: HTTPServerRequest = handler.request
+        log.debug("%d %s %s", handler.get_status(), request.method, request.path)
+
+
+def application(node: Node) -> web.Application:
+    args = {"node": node}
+    return web.Application(
+        [
+            (r"/v1/report", ReportIn, args),
+            (r"/work", Submit, args),
+            (r"/work/([^/]*)", Status, args),
+            (r"/work/([^/]*)/abort", Cancel, args),
+            (r"/up", Up, args),
+        ],
+        default_handler_class=NotFound,
+        default_handler_args=args,
+        log_function=_quiet,
+    )
--- /dev/null
+++ b/winglift/api/jobs.py
@@ -0,0 +1,163 @@
+"""What users ask for, answered from the state service by any node, leader or not (invariant 4)."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+
+from .. import constants as c
+from ..config.settings import Settings
+from ..model.job import JobState
+from ..model.teams import exceeds_limit
+from ..store import records
+from ..store.client import Health, LeaseGone, Refused, StateClient, Unknown
+from ..wire import state as wire
+from ..wire.cloud import MachineType
+from ..wire.users import JobStatus, StatusReply, Submission, encode
+
+log = logging.getLogger(__name__)
+
+
+class NotNow(Exception):
+    """Can't be decided now; the user is told when to come back."""
+
+    def __init__(self, why: str, retry_after: int = c.RETRY_AFTER_S) -> None:
+        super().__init__(why)
+        self.retry_after = retry_after
+
+
+class NeverRuns(Exception):
+    """The job can never run (422)."""
+
+
+def status_of(record: records.JobRecord, ref: str) -> StatusReply:
+    state = JobState(record.state)
+    done = records.done_count(record)
+    if state is JobState.DONE:
+        return StatusReply(ref, JobStatus.DONE, record.spec.tasks, 0)
+    if state is JobState.CANCELLED:
+        return StatusReply(ref, JobStatus.CANCELLED, done, 0)
+    running = records.held_count(record)
+    return StatusReply(ref, JobStatus.RUNNING if running else JobStatus.QUEUED, done, running)
+
+
+def feasible(spec: Submission, settings: Settings, types: dict[str, MachineType]) -> str | None:
+    """Why a job can never run, or None."""
+    team = next((t for t in settings.settings.teams if t.name == spec.team), None)
+    if team is None:
+        return f"owner: unknown team {spec.team}"
+    allowed = [t for t in types.values() if (spec.types is None or t.name in spec.types)
+               and (spec.zone is None or spec.zone in t.zones)]
+    if not any(spec.cpus <= t.cpus and spec.gpus <= t.gpus and spec.memory_gb <= t.memory_gb for t in allowed):
+        return "a task fits no allowed machine type"
+    if exceeds_limit(team, spec):
+        return "more than the team's limit"
+    return None
+
+
+class Jobs:
+    def __init__(self, settings: Settings, state: StateClient, types: Callable[[], dict[str, MachineType]],
+                 on_change: Callable[[str, int, records.JobRecord], None]) -> None:
+        self.settings = settings
+        self.state = state
+        self.types = types
+        self._on_change = on_change
+        self._ends: OrderedDict[str, StatusReply] = OrderedDict()
+
+    def remember_end(self, ref: str, reply: StatusReply) -> None:
+        """An end never changes, so it may be answered without asking."""
+        if reply.status in (JobStatus.DONE, JobStatus.CANCELLED):
+            self._ends[ref] = reply
+            while len(self._ends) > c.ENDS_CACHED:
+                self._ends.popitem(last=False)
+
+    def _down(self, why: str) -> NotNow:
+        down = self.state.health() is Health.DOWN
+        return NotNow(why, c.RETRY_AFTER_DOWN_S if down else c.RETRY_AFTER_S)
+
+    async def _read(self, ref: str) -> tuple[records.JobRecord, int] | None:
+        try:
+            item = await self.state.get(records.JOB + ref, timeout=c.STATUS_TIMEOUT_S)
+        except (Refused, Unknown) as err:
+            raise self._down(str(err)) from None
+        return None if item is None else (records.decode(item.value), item.version)
+
+    async def status(self, ref: str) -> StatusReply | None:
+        """A job's state as the state service has it; None only by its own word (404)."""
+        end = self._ends.get(ref)
+        if end is not None:
+            return end
+        found = await self._read(ref)
+        if found is None:
+            return None
+        reply = status_of(found[0], ref)
+        self.remember_end(ref, reply)
+        return reply
+
+    async def submit(self, spec: Submission) -> tuple[int, StatusReply]:
+        end = self._ends.get(spec.ref)
+        if end is not None:
+            return 200, end
+        types = self.types()
+        # What looks impossible may be a repeat of a job that is accepted already: look it up before 422.
+        why = feasible(spec, self.settings, types) if types else "types"
+        if why is not None:
+            known = await self.status(spec.ref)
+            if known is not None:
+                return 200, known
+            if not types:
+                raise NotNow("machine types are not known yet")
+            raise NeverRuns(why)
+        record = records.fresh(spec, time.time())
+        if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * 0.6:
+            raise NeverRuns("the description is too long to be kept")
+        txn = wire.Transaction([wire.Condition(records.JOB + spec.ref, 0)], [wire.Put(records.JOB + spec.ref, record)])
+        try:
+            result = await self.state.commit(txn, timeout=c.SUBMIT_TIMEOUT_S)
+        except (Refused, LeaseGone) as err:
+            raise self._down(str(err)) from None
+        except Unknown as err:
+            # It may have been taken. Only a reading tells; otherwise the user asks again.
+            known = await self.status(spec.ref)
+            if known is not None:
+                return 200, known
+            raise self._down(str(err)) from None
+        if isinstance(result, wire.Conflict):
+            known = await self.status(spec.ref)
+            if known is None:
+                raise NotNow("the state service contradicts itself")
+            return 200, known
+        # Told only now, after the commit (invariant 4).
+        self._on_change(spec.ref, result.revision, record)
+        return 201, StatusReply(spec.ref, JobStatus.QUEUED)
+
+    async def cancel(self, ref: str) -> StatusReply | None:
+        end = self._ends.get(ref)
+        if end is not None:
+            return end
+        for _ in range(c.CANCEL_TRIES):
+            found = await self._read(ref)
+            if found is None:
+                return None
+            record, version = found
+            reply = status_of(record, ref)
+            if reply.status in (JobStatus.DONE, JobStatus.CANCELLED):
+                self.remember_end(ref, reply)
+                return reply
+            record.state = JobState.CANCELLED.value
+            key = records.JOB + ref
+            txn = wire.Transaction([wire.Condition(key, version)], [wire.Put(key, record)])
+            try:
+                result = await self.state.commit(txn)
+            except Unknown:
+                continue  # read again: it may have been carried out
+            except (Refused, LeaseGone) as err:
+                raise self._down(str(err)) from None
+            if isinstance(result, wire.Committed):
+                self._on_change(ref, result.revision, record)
+                reply = status_of(record, ref)
+                self.remember_end(ref, reply)
+                return reply
+        raise NotNow("the job changes too often just now")
--- /dev/null
+++ b/winglift/cloud/__init__.py
@@ -0,0 +1,1 @@
+"""Cloud API: client and machine inventory."""
--- /dev/null
+++ b/winglift/cloud/client.py
@@ -0,0 +1,90 @@
+"""Client of the cloud, within its rate."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from .. import constants as c
+from ..config.settings import Cloud
+from ..net.budget import Budget
+from ..net.client import Client, NotSent, Reply, Unanswered
+from ..wire import cloud as wire
+
+log = logging.getLogger(__name__)
+
+
+class CloudError(Exception):
+    """Refused, or no answer: the request may have been carried out or may yet be."""
+
+
+class NoCapacity(Exception):
+    """None of this type, zone and kind are to be had now."""
+
+
+_types = msgspec.json.Decoder(wire.Types)
+_names = msgspec.json.Decoder(wire.Names)
+_listing = msgspec.json.Decoder(wire.Listing)
+
+
+class CloudClient:
+    def __init__(self, host: str, port: int, limits: Cloud, nodes: int) -> None:
+        self._http = Client(host, port)
+        self._limits = limits
+        self._nodes = nodes
+        self._budget = Budget(limits.rps, limits.rps)
+        self.set_leading(False)
+
+    def set_leading(self, leads: bool) -> None:
+        """The leader deals with the cloud; the others only ask for the types now and then."""
+        share = 0.8 if leads or self._nodes == 1 else 0.2 / max(1, self._nodes - 1)
+        self._budget.resize(self._limits.rps * share, max(1.0, self._limits.rps * share), time.monotonic())
+
+    async def _call(self, method: str, path: str, body: bytes | None = None) -> Reply:
+        while not self._budget.take(time.monotonic()):
+            await asyncio.sleep(self._budget.wait_s(time.monotonic()) + 0.002)
+        try:
+            reply = await self._http.request(method, path, body, c.CLOUD_TIMEOUT_S)
+        except (Unanswered, NotSent) as err:
+            raise CloudError(str(err)) from None
+        if reply.status == 429:
+            self._budget.penalise(time.monotonic())
+        return reply
+
+    @staticmethod
+    def _decode(decoder: msgspec.json.Decoder, reply: Reply):  # type: ignore[no-untyped-def, type-arg]
+        if reply.status != 200:
+            raise CloudError(f"cloud: {reply.status} {reply.body[:100]!r}")
+        try:
+            return decoder.decode(reply.body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as err:
+            raise CloudError(f"odd answer of the cloud: {err}") from None
+
+    async def types(self) -> dict[str, wire.MachineType]:
+        found = self._decode(_types, await self._call("GET", "/flavors"))
+        return {t.name: t for t in found.types}
+
+    async def rent(self, request: wire.Rent) -> list[str]:
+        reply = await self._call("POST", "/hosts", msgspec.json.encode(request))
+        if reply.status == 503 and b"no capacity" in reply.body:
+            raise NoCapacity
+        return self._decode(_names, reply).machines
+
+    async def delete(self, names: list[str]) -> None:
+        reply = await self._call("POST", "/hosts/delete", msgspec.json.encode(wire.Names(names)))
+        if reply.status != 200:
+            raise CloudError(f"cloud: {reply.status} for a deletion")
+
+    async def list(self) -> list[wire.Listed]:
+        found: list[wire.Listed] = []
+        after = ""
+        while True:
+            path = f"/hosts?limit={c.LIST_PAGE}" + (f"&after={after}" if after else "")
+            page = self._decode(_listing, await self._call("GET", path))
+            found += page.machines
+            if not page.more or not page.machines:
+                return found
+            after = page.machines[-1].name
--- /dev/null
+++ b/winglift/cloud/inventory.py
@@ -0,0 +1,149 @@
+"""Machines of the leader: renting, returning, and reconciling the list with what reports show."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+
+from .. import constants as c
+from ..model.machine import Machine, MachineEvent, MachineState
+from ..model.picture import Picture
+from ..policy.plan import Rental
+from ..wire import cloud as wire
+from .client import CloudClient, CloudError, NoCapacity
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Asked:
+    """A rental that the cloud has not answered yet; its machines count as booting."""
+
+    request: wire.Rent
+    at: float
+
+
+class Inventory:
+    def __init__(self, cloud: CloudClient, picture: Picture, list_lag_s: float) -> None:
+        self.cloud = cloud
+        self.picture = picture
+        self.list_lag_s = list_lag_s
+        self.asked: dict[str, Asked] = {}
+        self.refused: dict[tuple[str, str, bool], float] = {}
+        self.listed_once = False
+        self._number = 0
+        self._tasks: set[asyncio.Task] = set()
+        self._to_delete: dict[str, Machine] = {}
+
+    def spawn(self, coroutine) -> None:  # type: ignore[no-untyped-def]
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    # -- renting -------------------------------------------------------------------------------
+
+    def rent(self, rental: Rental) -> None:
+        self._number += 1
+        # The name holds the term, which no other node ever has: a name is never reused (invariant 6).
+        name = f"t{self.picture.term}-{self._number}"
+        request = wire.Rent(name, rental.type, rental.zone, rental.spot, min(rental.count, c.RENT_MOST))
+        self.asked[name] = Asked(request, time.monotonic())
+        self.spawn(self._rent(request))
+
+    async def _rent(self, request: wire.Rent) -> None:
+        key = (request.type, request.zone, request.spot)
+        try:
+            while True:
+                try:
+                    names = await self.cloud.rent(request)
+                    break
+                except NoCapacity:
+                    log.info("cloud refuses %d %s in %s (%s)", request.count, request.type, request.zone,
+                             "spot" if request.spot else "ordinary")
+                    self.refused[key] = time.monotonic() + c.NO_CAPACITY_PAUSE_S
+                    return
+                except CloudError as err:
+                    # The same name again: if it was carried out, the answer is the same and nothing more is rented.
+                    log.info("rental %s: %s", request.request, err)
+                    await asyncio.sleep(c.CLOUD_PAUSE_S)
+            now = time.monotonic()
+            if len(names) < request.count:
+                self.refused[key] = now + c.NO_CAPACITY_PAUSE_S
+            log.info("rented %s in %s (%s): %s", request.type, request.zone,
+                     "spot" if request.spot else "ordinary", " ".join(names))
+            for name in names:
+                machine = self.picture.adopt(name, request.type, request.zone, request.spot, now, 0.0)
+                if machine.state is MachineState.INHERITED and machine.last_heard is None:
+                    machine.state = MachineState.BOOTING
+        finally:
+            self.asked.pop(request.request, None)
+            self.picture.changed = True
+
+    def refused_now(self, now: float) -> set[tuple[str, str, bool]]:
+        self.refused = {k: t for k, t in self.refused.items() if t > now}
+        return set(self.refused)
+
+    # -- returning -----------------------------------------------------------------------------
+
+    def delete(self, machine: Machine, why: str) -> None:
+        if machine.state is MachineState.DELETING or machine.name in self._to_delete:
+            return
+        log.info("deletes %s in %s: %s (%d tasks)", machine.name, machine.zone, why, len(machine.tasks))
+        machine.move(MachineEvent.DELETE)
+        self._to_delete[machine.name] = machine
+        if len(self._to_delete) == 1:
+            self.spawn(self._delete())
+
+    async def _delete(self) -> None:
+        while self._to_delete:
+            batch = dict(list(self._to_delete.items())[:c.DELETE_MOST])
+            try:
+                await self.cloud.delete(list(batch))
+            except CloudError as err:
+                # Unanswered is not undone: the machines stay out of use, and the deletion is repeated.
+                log.info("deletion: %s", err)
+                await asyncio.sleep(c.CLOUD_PAUSE_S)
+                continue
+            now = time.monotonic()
+            for name, machine in batch.items():
+                self._to_delete.pop(name, None)
+                self.picture.machine_gone(machine, now)
+
+    # -- the list ------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        while True:
+            try:
+                listed = await self.cloud.list()
+                self.reconcile(listed, time.monotonic())
+                self.listed_once = True
+            except CloudError as err:
+                log.info("machine list: %s", err)
+            await asyncio.sleep(c.LIST_EVERY_S)
+
+    def reconcile(self, listed: list[wire.Listed], now: float) -> None:
+        picture = self.picture
+        for entry in listed:
+            if entry.name in picture.deleted:
+                continue
+            known = entry.name in picture.machines
+            machine = picture.adopt(entry.name, entry.type, entry.zone, entry.spot, now, entry.age_s)
+            if not known:
+                log.info("the list shows %s (%s, %s)", entry.name, entry.zone, entry.state)
+                if entry.state == "booting":
+                    machine.state = MachineState.BOOTING
+                picture.changed = True
+            if entry.addr and not machine.addr:
+                machine.addr = entry.addr
+            if entry.state == "failed":
+                self.delete(machine, "stopped on its own")
+        # A name that was deleted long ago can't show up in a list any more.
+        horizon = now - 600.0
+        for name in [n for n, t in picture.deleted.items() if t < horizon]:
+            del picture.deleted[name]
--- /dev/null
+++ b/winglift/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""The link between controller nodes."""
--- /dev/null
+++ b/winglift/cluster/link.py
@@ -0,0 +1,180 @@
+"""The `back` link: controllers tell one another what they know and hand reports to the leader."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from .. import constants as c
+from ..config.settings import Seed, parse_addr
+from ..wire import back
+
+log = logging.getLogger(__name__)
+
+
+class NoLink(Exception):
+    """The peer can't be asked now."""
+
+
+@dataclass
+class Peer:
+    seed: Seed
+    heard: back.PeerState | None = None
+    heard_at: float = 0.0
+    stream: IOStream | None = None
+    waiting: dict[int, asyncio.Future] = field(default_factory=dict)
+
+    def fresh(self, now: float) -> bool:
+        return self.heard is not None and now - self.heard_at < c.PEER_FRESH_S
+
+
+class Link(TCPServer):
+    def __init__(self, node: str, seeds: list[Seed], mine: Callable[[], back.PeerState],
+                 on_relay: Callable[[bytes], Awaitable[tuple[int, bytes]]],
+                 on_job: Callable[[back.JobNote], None], on_state: Callable[[back.PeerState], None]) -> None:
+        super().__init__()
+        self.node = node
+        self.peers = {s.node: Peer(s) for s in seeds if s.node != node}
+        self._mine = mine
+        self._on_relay = on_relay
+        self._on_job = on_job
+        self._on_state = on_state
+        self._request = 0
+
+    # -- what the peers say --------------------------------------------------------------------
+
+    def leader(self, now: float) -> Peer | None:
+        leads = [p for p in self.peers.values() if p.heard is not None and p.heard.leads and p.fresh(now)]
+        return max(leads, key=lambda p: p.heard.term if p.heard else 0, default=None)
+
+    def term(self) -> int:
+        return max((p.heard.term for p in self.peers.values() if p.heard), default=0)
+
+    def state_works_elsewhere(self, now: float) -> bool:
+        return any(p.fresh(now) and p.heard is not None and p.heard.state_ok for p in self.peers.values())
+
+    # -- serving -------------------------------------------------------------------------------
+
+    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        stream.set_nodelay(True)
+        try:
+            while True:
+                header, body = await self._read(stream)
+                if header.type is back.FrameType.STATE:
+                    self._heard(back.parse_state(body))
+                elif header.type is back.FrameType.JOB:
+                    self._on_job(back.parse_job(body))
+                elif header.type is back.FrameType.RELAY:
+                    asyncio.ensure_future(self._answer(stream, header.request, body))
+        except StreamClosedError:
+            pass
+        except back.BadFrame as err:
+            log.warning("back link from %s: %s", address, err)
+        finally:
+            stream.close()
+
+    async def _answer(self, stream: IOStream, request: int, body: bytes) -> None:
+        status, answer = await self._on_relay(body)
+        try:
+            await stream.write(back.frame(back.FrameType.RELAYED, request, back.pack_answer(status, answer)))
+        except StreamClosedError:
+            pass
+
+    @staticmethod
+    async def _read(stream: IOStream) -> tuple[back.Header, bytes]:
+        header = back.parse_header(await stream.read_bytes(back.HEADER.size))
+        return header, await stream.read_bytes(header.length) if header.length else b""
+
+    def _heard(self, state: back.PeerState) -> None:
+        peer = self.peers.get(state.node)
+        if peer is None:
+            log.warning("back link: unknown node %r", state.node)
+            return
+        # Frames held back by a cut may arrive late: an older term says nothing about the present.
+        if peer.heard is not None and state.term < peer.heard.term:
+            return
+        peer.heard, peer.heard_at = state, time.monotonic()
+        self._on_state(state)
+
+    # -- asking --------------------------------------------------------------------------------
+
+    def start(self) -> None:  # type: ignore[override]
+        for peer in self.peers.values():
+            asyncio.ensure_future(self._keep(peer))
+
+    async def _keep(self, peer: Peer) -> None:
+        host, port = parse_addr(peer.seed.addr, "seeds")
+        while True:
+            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            try:
+                async with asyncio.timeout(c.BACK_CONNECT_S):
+                    await stream.connect((host, port))
+                stream.set_nodelay(True)
+                peer.stream = stream
+                reader = asyncio.ensure_future(self._read_answers(peer, stream))
+                try:
+                    while not stream.closed():
+                        async with asyncio.timeout(c.BACK_WRITE_S):
+                            await stream.write(back.frame(back.FrameType.STATE, 0, back.pack_state(self._mine())))
+                        await asyncio.sleep(c.BACK_STATE_S)
+                finally:
+                    reader.cancel()
+            except (StreamClosedError, TimeoutError, OSError):
+                pass
+            finally:
+                peer.stream = None
+                stream.close()
+                for future in peer.waiting.values():
+                    if not future.done():
+                        future.set_exception(NoLink())
+                        future.exception()
+                peer.waiting.clear()
+            await asyncio.sleep(c.BACK_RETRY_S)
+
+    async def _read_answers(self, peer: Peer, stream: IOStream) -> None:
+        try:
+            while True:
+                header, body = await self._read(stream)
+                future = peer.waiting.pop(header.request, None)
+                if future is not None and not future.done() and header.type is back.FrameType.RELAYED:
+                    future.set_result(back.parse_answer(body))
+        except StreamClosedError:
+            pass
+        except back.BadFrame as err:
+            log.warning("back link to %s: %s", peer.seed.node, err)
+        finally:
+            stream.close()
+
+    async def relay(self, peer: Peer, report: bytes) -> tuple[int, bytes]:
+        """Hand a worker's report to the leader and wait for its answer."""
+        if peer.stream is None or peer.stream.closed():
+            raise NoLink
+        self._request = (self._request + 1) % 2**32
+        number = self._request
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        peer.waiting[number] = future
+        try:
+            async with asyncio.timeout(c.RELAY_TIMEOUT_S):
+                await peer.stream.write(back.frame(back.FrameType.RELAY, number, report))
+                return await future
+        except (StreamClosedError, TimeoutError, back.BadFrame):
+            raise NoLink from None
+        finally:
+            peer.waiting.pop(number, None)
+
+    def tell_leader(self, note: back.JobNote) -> None:
+        """A hint that spares the leader the wait for its watch. Loss does no harm."""
+        peer = self.leader(time.monotonic())
+        if peer is None or peer.stream is None or peer.stream.closed():
+            return
+        try:
+            peer.stream.write(back.frame(back.FrameType.JOB, 0, back.pack_job(note)))
+        except (StreamClosedError, back.BadFrame):
+            pass
--- /dev/null
+++ b/winglift/config/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's settings file and the operators' own script."""
--- /dev/null
+++ b/winglift/constants.py
@@ -0,0 +1,90 @@
+"""Every constant in one place: value, unit, reason."""
+
+# --- clocks -----------------------------------------------------------------------------------
+CLOCK_DRIFT = 0.0005  # ratio; steady clocks of two machines drift apart by at most this much
+
+# --- leadership -------------------------------------------------------------------------------
+LEADER_LEASE_S = 3.0  # s; a crash is noticed within this, and a slow answer does not lose the lease
+LEADER_RENEW_S = 0.75  # s; four tries fit into one lease
+LEADER_MARGIN_S = 0.25  # s; the lease counts as over this much early, for timers that fire late
+CAMPAIGN_POLL_S = 0.5  # s; how often a follower looks at the leader key
+CAMPAIGN_JITTER_S = 0.3  # s; spread of campaigns, so that nodes rarely collide
+LEADER_DEAF_S = 5.0  # s; a leader that hears no worker this long, while others may, resigns
+RESIGN_PAUSE_S = 8.0  # s; a node that resigned lets the others try first
+
+# --- state service ----------------------------------------------------------------------------
+STATE_TIMEOUT_S = 1.5  # s; answers usually take 10 ms and at times a few hundred
+LEADER_SHARE = 0.6  # ratio of the request budget that the leader may use; the others share the rest
+WATCH_BLOCK_MS = 10_000  # ms; length of one watch
+WATCH_PAUSE_S = 0.05  # s; between two watches, so that many changes arrive as one answer
+LIST_LIMIT = 1000  # records in one listing, the protocol's most
+STATE_DOWN_AFTER_S = 2.0  # s without any good answer until the state service counts as down
+STATE_PROBE_S = 0.5  # s; how often a refused node tries the state service again
+MAX_QUEUE_S = 0.35  # s; longest wait for a request token before a user is refused
+COMMIT_PARALLEL = 3  # transactions in flight at once
+RECORD_WINDOW = 2048  # tasks; a job works on this many unfinished tasks at a time (256-byte bitmap)
+RECORD_SPARE_BYTES = 96  # bytes of a value kept free for counters that grow
+
+# --- users ------------------------------------------------------------------------------------
+MAX_BODY = 64 * 1024  # bytes; the protocol's limit of a request body
+MAX_PIECES = 100_000  # tasks of one job; the protocol's limit
+MAX_NAME = 128  # characters of a name in a submission, so that a record fits into one value
+MAX_TYPES = 16  # machine types named by one job, for the same reason
+MAX_AMOUNT = 1e9  # upper bound of any amount; beyond it a number is a mistake
+STATUS_TIMEOUT_S = 1.2  # s; users wait 2 s for a status
+SUBMIT_TIMEOUT_S = 3.0  # s; users wait 5 s for a submission
+RETRY_AFTER_S = 1  # s; told to a user who is refused for a passing reason
+RETRY_AFTER_DOWN_S = 2  # s; told to a user while the state service is down
+ENDS_CACHED = 20_000  # ended jobs remembered per node; an end never changes
+CANCEL_TRIES = 8  # conflicts with other writers before a cancellation is refused for now
+
+# --- workers ----------------------------------------------------------------------------------
+COMMAND_TIMEOUT_S = 2.0  # s; a direct command that takes longer is repeated by the next report
+RELAY_TIMEOUT_S = 1.0  # s; a report handed to the leader over the back link; workers wait 4 s
+REDIRECT_MEMORY_S = 6.0  # s; a worker that comes back this soon after a redirect can't reach the leader
+SILENT_SHARE = 1.0  # of lease_s; after this much silence a lone machine is deleted
+SILENT_ZONE_SHARE = 3.0  # of lease_s; the same while most of its zone is silent: then the cut is ours
+ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
+TAKEN_SILENT_S = 1.5  # s of silence after a notice ran out until the machine counts as taken
+CANCEL_DELETE_SHARE = 0.55  # of cancel_s; then a machine still holding a cancelled task is deleted
+STOP_REPEAT_S = 1.0  # s between two direct stops of the same task
+STOP_GRACE_MARGIN_S = 1.0  # s on top of the saving time a task needs
+ERRORS_SICK = 2  # failed tasks in a row on one machine until it counts as faulty
+ERRORS_JOB = 3  # machines on which a job failed until the job itself is suspected
+BACKOFF_FIRST_S = 0.5  # s; first pause after a failed start
+BACKOFF_MOST_S = 30.0  # s; longest such pause
+
+# --- cloud ------------------------------------------------------------------------------------
+CLOUD_TIMEOUT_S = 3.0  # s for one call
+TYPES_EVERY_S = 30.0  # s between two looks at the types and their prices
+LIST_EVERY_S = 3.0  # s between two machine lists of the leader
+LIST_PAGE = 500  # machines in one list answer, the protocol's most
+RENT_MOST = 50  # machines in one rental request, the protocol's most
+DELETE_MOST = 100  # machines in one deletion, the protocol's most
+NO_CAPACITY_PAUSE_S = 8.0  # s until a refused type, zone and kind is asked for again
+CLOUD_PAUSE_S = 1.0  # s after a failed cloud call
+BOOT_GIVE_UP = 2.5  # of the boot time; a machine still booting then is given back
+FIRST_PAID_S = 60.0  # s; the least that a rented machine costs
+
+# --- policy -----------------------------------------------------------------------------------
+CYCLE_S = 0.15  # s; the scheduling cycle: far below any start aim, cheap enough for half a core
+IDLE_CYCLE_S = 1.0  # s; at least this often, even when nothing has changed
+ESTIMATE_PAD = 1.25  # ratio; owners' estimates are often wrong by a third or more
+IDLE_KEEP_S = 12.0  # s; an idle machine past its first paid stretch is kept this long
+RESERVE_WINDOW_S = 300.0  # s; arrivals this recent size the warm reserve
+RESERVE_MOST_SHARE = 0.25  # of the machines in use; the most that the warm reserve may add
+GRACE_AFTER_TAKEOVER = 1.0  # of list_lag_s; no renting until the list can show what was rented before
+
+# --- memory and sockets -----------------------------------------------------------------------
+SOCKET_SHARE = 0.8  # of the socket limit; beyond it users are refused at once
+POOL_PER_HOST = 8  # kept connections to one address
+POOL_IDLE_S = 20.0  # s; a kept connection unused this long is closed
+
+# --- link between controllers -----------------------------------------------------------------
+BACK_CONNECT_S = 1.0  # s for one connection attempt
+BACK_WRITE_S = 2.0  # s until a link that takes no more bytes is given up
+BACK_RETRY_S = 0.5  # s between two attempts
+BACK_STATE_S = 0.5  # s between two state frames
+PEER_FRESH_S = 1.8  # s; three state frames missed make a peer's word stale
+RELAY_STICKY_S = 20.0  # s; a worker that could not reach the leader is relayed this long before a new try
+START_PATIENCE_S = 5.0  # s after its start in which a node without machine types is not up yet
--- /dev/null
+++ b/winglift/controller.py
@@ -0,0 +1,427 @@
+"""The leader's work: observe, decide, commit, act. One object per term."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+
+from . import constants as c
+from .cloud.client import CloudClient
+from .cloud.inventory import Inventory
+from .config.settings import Settings
+from .model.job import Job, JobState
+from .model.machine import Machine, MachineState
+from .model.picture import START, TIDY, Picture, zone_counts
+from .model.task import PRESENT, TaskState
+from .policy import plan as policy
+from .policy.split import sub_deadline
+from .store import records
+from .store.batcher import Batcher
+from .store.client import Refused, StateClient, TooOld, Unknown
+from .store.election import Election
+from .wire import workers as w
+from .wire.cloud import MachineType
+from .wire.users import Kind, Priority, Submission
+from .workers.commands import Stopper
+
+log = logging.getLogger(__name__)
+
+
+class Controller:
+    def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, election: Election,
+                 types: dict[str, MachineType]) -> None:
+        self.settings = settings
+        self.state = state
+        self.election = election
+        self.me = election.me
+        self.term = election.me.term
+        self.types = types
+        self.picture = Picture(settings, types, self.term)
+        self.batcher = Batcher(state, settings.settings.state, self.picture, self.me)
+        self.inventory = Inventory(cloud, self.picture, settings.settings.cloud.list_lag_s)
+        self.stopper = Stopper(self.picture, self.me)
+        self.loaded = False
+        self.began = time.monotonic()
+        self._revision = 0
+        self._tasks: list[asyncio.Task] = []
+        self._wake = asyncio.Event()
+        self._recent: deque[tuple[float, Submission]] = deque(maxlen=500)
+        self._seen_refs: set[str] = set()
+        self._last_plan = 0.0
+        self._last_report = time.monotonic()
+
+    def start(self) -> None:
+        self._tasks = [asyncio.ensure_future(self._guard(job)) for job in
+                       (self._load_and_watch, self.inventory.run, self._cycle)]
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self.inventory.stop()
+        self.stopper.stop()
+
+    async def _guard(self, job) -> None:  # type: ignore[no-untyped-def]
+        """A fault in one pass must not end the leader's work."""
+        while True:
+            try:
+                await job()
+                return
+            except asyncio.CancelledError:
+                raise
+            except Exception:
+                log.exception("fault in %s", job.__name__)
+                await asyncio.sleep(0.5)
+
+    # -- observe -------------------------------------------------------------------------------
+
+    async def _load_and_watch(self) -> None:
+        """Load all records, then follow their changes. The picture is rebuilt before anything is placed."""
+        while True:
+            try:
+                items, revision = await self.state.list(records.JOB)
+                now = time.monotonic()
+                for item in items:
+                    self._take_record(item.key, item.version, item.value, now)
+                self._revision = revision
+                if not self.loaded:
+                    log.info("term %d: %d records, %d jobs open, %d machines named", self.term, len(items),
+                             sum(j.is_open for j in self.picture.jobs.values()), len(self.picture.machines))
+                self.loaded = True
+                self.picture.changed = True
+                await self._watch()
+            except TooOld:
+                log.info("the watch fell behind; reading all records again")
+            except (Refused, Unknown) as err:
+                log.debug("records: %s", err)
+                await asyncio.sleep(0.5)
+
+    async def _watch(self) -> None:
+        while True:
+            try:
+                changes = await self.state.changes(records.JOB, self._revision)
+            except (Refused, Unknown) as err:
+                log.debug("watch: %s", err)
+                await asyncio.sleep(0.3)
+                continue
+            now = time.monotonic()
+            for event in changes.events:
+                if event.put is not None and event.value is not None:
+                    self._take_record(event.put, event.version, event.value, now)
+            self._revision = max(self._revision, changes.revision)
+            if changes.events:
+                self._wake.set()
+            await asyncio.sleep(c.WATCH_PAUSE_S)
+
+    def _take_record(self, key: str, version: int, value, now: float) -> None:  # type: ignore[no-untyped-def]
+        ref = key[len(records.JOB):]
+        try:
+            self.take_job(ref, version, records.decode(value), now)
+        except records.BadRecord as err:
+            log.error("record of %s is left alone: %s", ref, err)
+
+    def take_job(self, ref: str, version: int, record: records.JobRecord, now: float) -> None:
+        """A record that this node or another has committed."""
+        job = self.picture.jobs.get(ref)
+        if job is not None and job.writing:
+            # Perhaps our own write, whose answer is still under way: it is compared once that is here.
+            if version > job.version and (job.pending is None or version > job.pending[0]):
+                job.pending = (version, records.encode(record))
+            return
+        if job is None and ref not in self._seen_refs and record.state == JobState.OPEN.value:
+            self._seen_refs.add(ref)
+            self._recent.append((record.submitted, record.spec))
+        self.picture.apply_record(ref, version, record, now)
+        self._wake.set()
+
+    def on_report(self, report: w.Report) -> list[w.Command] | None:
+        """Commands for a worker, or none while this node may not command: the answer renews its lease all the same."""
+        now = time.monotonic()
+        self._last_report = now
+        if not self.loaded:
+            return []
+        commands = self.picture.on_report(report, now)
+        if commands is None:
+            return None if report.machine in self.picture.deleted else []
+        if self.picture.changed:
+            self._wake.set()
+        if not self.me.entitled(now):
+            return []
+        machine = self.picture.machines[report.machine]
+        if report.token == self.term:
+            commands += self.picture.orders(machine, report, now)
+        return commands
+
+    def outranked(self, term: int) -> None:
+        self.election.lose(f"a worker knows term {term}")
+
+    # -- decide --------------------------------------------------------------------------------
+
+    async def _cycle(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(c.IDLE_CYCLE_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self.election.check()
+            if self.batcher.lost:
+                self.election.lose("another node holds the leader key")
+                return
+            if self.loaded and self.me.entitled(time.monotonic()):
+                began = time.monotonic()
+                self._step(began)
+                took = time.monotonic() - began
+                if took > 0.1:
+                    log.debug("a cycle took %.0f ms", took * 1000)
+            await asyncio.sleep(c.CYCLE_S)
+
+    def _step(self, now: float) -> None:
+        picture = self.picture
+        if picture.changed or now - self._last_plan >= c.IDLE_CYCLE_S:
+            picture.changed = False
+            self._last_plan = now
+            self._check_jobs(now)
+            self._check_machines(now)
+            plan = policy.make_plan(self.snapshot(now))
+            self._apply(plan, now)
+        self.batcher.flush(now)
+
+    def _check_jobs(self, now: float) -> None:
+        for job in list(self.picture.jobs.values()):
+            if not job.is_open and not job.active and not job.writing and not job.dirty and not job.recorded:
+                del self.picture.jobs[job.ref]
+            elif job.state is JobState.CANCELLED:
+                for task in job.active.values():
+                    # A stop that got lost is repeated: within cancel_s all its tasks must be gone.
+                    if task.state in PRESENT and now - task.stop_at > c.STOP_REPEAT_S:
+                        task.stop_at = now
+                        task.stop_grace = 0.0
+                        self.stopper.add(task)
+
+    def _check_machines(self, now: float) -> None:
+        workers = self.settings.settings.workers
+        machines = list(self.picture.machines.values())
+        up = [m for m in machines if m.last_heard is not None]
+        silent = {m.name for m in up if now - (m.last_heard or 0) > 3 * workers.report_s}
+        if len(up) >= 2 and now - max((m.last_heard or 0) for m in up) > c.LEADER_DEAF_S:
+            asyncio.ensure_future(self.election.resign("hears no worker any more"))
+            return
+        for machine in machines:
+            if machine.state is MachineState.DELETING:
+                continue
+            why = self._unfit(machine, silent, up, now)
+            if why is not None:
+                self.inventory.delete(machine, why)
+
+    def _unfit(self, machine: Machine, silent: set[str], up: list[Machine], now: float) -> str | None:
+        """Why a machine is to be deleted now, or None."""
+        workers = self.settings.settings.workers
+        heard = machine.last_heard
+        quiet = now - (heard if heard is not None else machine.known_since)
+        if machine.state is MachineState.BOOTING:
+            boot = machine.type.boot_s if machine.type else 60.0
+            if now - machine.rented_at > max(c.BOOT_GIVE_UP * boot, c.FIRST_PAID_S):
+                return "does not come up"
+            return None
+        if machine.taken_at is not None and now > machine.taken_at + c.TAKEN_SILENT_S and quiet > c.TAKEN_SILENT_S + 1:
+            return "taken by the cloud"
+        if machine.state is MachineState.DRAINING and not machine.tasks and machine.drain_reason != "notice":
+            return machine.drain_reason
+        # A machine that can't be told to stop a cancelled task is deleted while cancel_s still allows it.
+        limit = workers.cancel_s * c.CANCEL_DELETE_SHARE
+        for task in machine.tasks.values():
+            seen = task.job.cancel_seen
+            if seen is not None and now - seen > limit:
+                return f"holds the cancelled {task.name}"
+        neighbours = [m for m in up if m.zone == machine.zone]
+        cut = sum(m.name in silent for m in neighbours) > max(1.0, c.ZONE_SILENT_PART * len(neighbours))
+        if quiet > workers.lease_s * (c.SILENT_ZONE_SHARE if cut else c.SILENT_SHARE):
+            return f"silent for {quiet:.1f} s"
+        return None
+
+    def snapshot(self, now: float) -> policy.Snapshot:
+        picture, wall = self.picture, time.time()
+        rooms = [r for m in picture.machines.values() if (r := self._room(m, now)) is not None]
+        for name, asked in self.inventory.asked.items():
+            mtype = self.types.get(asked.request.type)
+            if mtype is not None:
+                rooms += [policy.Room(f"{name}/{i}", mtype, asked.request.zone, asked.request.spot, mtype.cpus,
+                                      mtype.gpus, mtype.memory_gb, ready_in=max(1.0, mtype.boot_s - (now - asked.at)))
+                          for i in range(asked.request.count)]
+        needs = []
+        team_open: dict[str, list[Job]] = {}
+        for job in picture.jobs.values():
+            if job.is_open:
+                team_open.setdefault(job.spec.team, []).append(job)
+        within: set[str] = set()
+        for name, jobs in team_open.items():
+            cpus = gpus = 0.0
+            for job in sorted(jobs, key=lambda j: j.submitted):
+                tasks = job.unfinished()
+                if picture.ledger.within_guarantee(name, cpus + job.spec.cpus * tasks, gpus + job.spec.gpus * tasks):
+                    within.add(job.ref)
+                cpus += job.spec.cpus * tasks
+                gpus += job.spec.gpus * tasks
+        for jobs in team_open.values():
+            for job in jobs:
+                need = self._need(job, now, wall, job.ref in within)
+                if need is not None:
+                    needs.append(need)
+        lag = self.settings.settings.cloud.list_lag_s
+        return policy.Snapshot(
+            now=wall, rooms=rooms, needs=needs, ledger=picture.ledger, types=self.types,
+            refused=self.inventory.refused_now(now), reserves=self._reserves(wall),
+            # What an earlier leader rented shows up in the list only after its lag.
+            may_rent=self.inventory.listed_once and now - self.began > lag * c.GRACE_AFTER_TAKEOVER,
+        )
+
+    def _need(self, job: Job, now: float, wall: float, within: bool) -> policy.Need | None:
+        spec = job.spec
+        if job.not_before > now or job.writing:
+            return None
+        if job.kind is Kind.GANG:
+            if job.active or job.gang_broken:
+                return None
+            indices = [i for i in range(spec.tasks) if i not in job.done]
+        else:
+            indices = job.waiting_tasks(200)
+        if not indices:
+            return None
+        run_s = self.picture.estimate_s(job) * c.ESTIMATE_PAD
+        due = sub_deadline(job.submitted, spec.due_s, run_s)
+        return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within)
+
+    def _room(self, machine: Machine, now: float) -> policy.Room | None:
+        mtype = machine.type
+        if mtype is None or machine.strangers:
+            return None
+        if machine.state is MachineState.BOOTING or (machine.state is MachineState.INHERITED and not machine.tasks):
+            left = max(1.0, mtype.boot_s - (now - machine.rented_at))
+            return policy.Room(machine.name, mtype, machine.zone, machine.spot, mtype.cpus, mtype.gpus,
+                               mtype.memory_gb, ready_in=left)
+        if machine.state is not MachineState.UP:
+            return None
+        if now - (machine.last_heard or 0) > 2.5 * self.settings.settings.workers.report_s:
+            return None
+        room = policy.Room(machine.name, mtype, machine.zone, machine.spot, mtype.cpus, mtype.gpus, mtype.memory_gb,
+                           images=set(machine.images), empty=not machine.tasks)
+        for task in machine.tasks.values():
+            spec = task.job.spec
+            room.take(spec)
+            room.images.add(spec.image)  # type: ignore[union-attr]
+            if task.stopping:
+                room.soon[0] += spec.cpus
+                room.soon[1] += spec.gpus
+                room.soon[2] += spec.memory_gb
+            elif spec.priority is not Priority.PRODUCTION and task.state in PRESENT:
+                ran = now - task.running_since if task.running_since is not None else 0.0
+                lost = ran if spec.checkpoint_s <= 0 else min(ran, spec.save_s)
+                room.victims.append(policy.Victim(job_ref(task), task.index, spec.priority.rank, spec.team, spec.cpus,
+                                                  spec.gpus, spec.memory_gb, lost,
+                                                  spec.tasks if spec.kind is Kind.GANG else 1))
+        return room
+
+    def _reserves(self, wall: float) -> list[policy.Reserve]:
+        """Warm room for classes that must start sooner than a machine boots, from their recent arrivals."""
+        objectives = {o.job_class: o.within_s for o in self.settings.settings.objectives
+                      if o.kind == "wait" and o.within_s is not None}
+        found: list[policy.Reserve] = []
+        boot = max((t.boot_s for t in self.types.values()), default=0.0)
+        classes: dict[str, list[Submission]] = {}
+        oldest: dict[str, float] = {}
+        for when, spec in self._recent:
+            limit = objectives.get(spec.job_class)
+            if limit is not None and limit < boot and wall - when < c.RESERVE_WINDOW_S:
+                classes.setdefault(spec.job_class, []).append(spec)
+                oldest.setdefault(spec.job_class, when)
+        zones = self.settings.settings.zones
+        for name, specs in classes.items():
+            span = max(60.0, wall - oldest[name])
+            tasks = sum(s.tasks for s in specs)
+            expected = tasks / span * boot
+            largest = max(s.tasks for s in specs)
+            per_zone = max(1, round(max(expected, largest) / len(zones) + 0.49))
+            found += [policy.Reserve(specs[-1], zone, per_zone) for zone in zones]
+        return found
+
+    # -- commit and act ------------------------------------------------------------------------
+
+    def _apply(self, plan: policy.Plan, now: float) -> None:
+        picture = self.picture
+        for ref, index, whom in plan.stops:
+            job = picture.jobs.get(ref)
+            task = job.active.get(index) if job else None
+            if job is None or task is None or task.stopping:
+                continue
+            log.info("stops %s on %s to make room for %s", task.name, task.machine.name, whom)
+            grace = job.spec.save_s + c.STOP_GRACE_MARGIN_S if job.spec.checkpoint_s > 0 else 0.0
+            if job.kind is Kind.GANG:
+                for other in list(job.active.values()):
+                    picture.stop(other, grace, now, f"makes room for {whom}")
+            else:
+                picture.stop(task, grace, now, f"makes room for {whom}")
+        for ref, places in plan.starts:
+            job = picture.jobs.get(ref)
+            if job is None:
+                continue
+            chosen = [(i, m) for i, name in places if (m := picture.machines.get(name)) is not None]
+            if job.kind is Kind.GANG and len(chosen) != len(places):
+                continue
+            if picture.propose(job, chosen, now):
+                if job.spec.tasks > 40 and not self.batcher.fits(job):
+                    self.batcher.reject(job, now, 0 if job.kind is Kind.GANG else len(chosen) // 2)
+                log.debug("places %s: %s", ref, ", ".join(f"{i} on {m.name}" for i, m in chosen))
+        for ref, why in plan.waiting.items():
+            log.debug("%s waits: %s", ref, why)
+        for rental in policy.merge_rentals(plan.rentals):
+            self.inventory.rent(rental)
+        self._return_idle(plan.spare, now)
+        self._drain(now)
+
+    def _return_idle(self, spare: set[str], now: float) -> None:
+        """Idle machines go back near their paid boundary: the first paid stretch, then any second."""
+        for name in spare:
+            machine = self.picture.machines.get(name)
+            if machine is None or machine.tasks or machine.strangers or machine.state is not MachineState.UP:
+                continue
+            idle = now - (machine.idle_since if machine.idle_since is not None else now)
+            if idle > c.IDLE_KEEP_S and now - machine.rented_at > c.FIRST_PAID_S - 2:
+                self.inventory.delete(machine, f"idle for {idle:.0f} s")
+
+    def _drain(self, now: float) -> None:
+        """Work on machines that are about to be taken or are faulty moves away in time to save."""
+        for machine in self.picture.machines.values():
+            if machine.state is not MachineState.DRAINING:
+                continue
+            left = machine.taken_at - now if machine.taken_at is not None else 0.0
+            for task in list(machine.tasks.values()):
+                spec = task.job.spec
+                if task.stopping:
+                    continue
+                if task.state is TaskState.COMMITTED and spec.kind is not Kind.GANG:
+                    self.picture.stop(task, 0.0, now, machine.drain_reason)
+                    continue
+                saves = spec.checkpoint_s > 0
+                if machine.drain_reason == "notice" and left > (spec.save_s + 4.0 if saves else 3.0):
+                    if spec.kind is Kind.SERVICE or not saves:
+                        ran = now - task.running_since if task.running_since is not None else 0.0
+                        if spec.kind is not Kind.SERVICE and self.picture.estimate_s(task.job) - ran < left:
+                            continue
+                    else:
+                        continue
+                grace = spec.save_s + c.STOP_GRACE_MARGIN_S if saves else 0.0
+                if spec.kind is Kind.GANG:
+                    for other in list(task.job.active.values()):
+                        self.picture.stop(other, grace, now, machine.drain_reason)
+                else:
+                    self.picture.stop(task, grace, now, machine.drain_reason)
+
+
+def job_ref(task) -> str:  # type: ignore[no-untyped-def]
+    return task.job.ref
+
+
+__all__ = ["START", "TIDY", "Controller"]
--- /dev/null
+++ b/winglift/model/__init__.py
@@ -0,0 +1,1 @@
+"""State machines and accounting of jobs, tasks, machines and leadership. Pure: no I/O."""
--- /dev/null
+++ b/winglift/model/machine.py
@@ -0,0 +1,95 @@
+"""A machine as the leader sees it."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from enum import Enum, auto
+
+from ..wire.cloud import MachineType
+from .task import Task
+
+
+class MachineState(Enum):
+    BOOTING = auto()  # rented, not heard of yet
+    UP = auto()  # reports under the present term
+    INHERITED = auto()  # known from records or the list, no report under the present term yet
+    DRAINING = auto()  # noticed, faulty or to be returned: nothing new is placed there
+    DELETING = auto()  # a deletion is under way
+    GONE = auto()  # deletion answered
+
+
+class MachineEvent(Enum):
+    REPORT = auto()
+    DRAIN = auto()
+    DELETE = auto()
+    DELETE_FAILED = auto()
+    DELETED = auto()
+
+
+_S, _E = MachineState, MachineEvent
+TRANSITIONS: dict[tuple[MachineState, MachineEvent], MachineState] = {
+    (_S.BOOTING, _E.REPORT): _S.UP,
+    (_S.INHERITED, _E.REPORT): _S.UP,
+    (_S.UP, _E.REPORT): _S.UP,
+    (_S.DRAINING, _E.REPORT): _S.DRAINING,
+    (_S.DELETING, _E.REPORT): _S.DELETING,
+    (_S.UP, _E.DRAIN): _S.DRAINING,
+    (_S.BOOTING, _E.DRAIN): _S.DRAINING,
+    (_S.INHERITED, _E.DRAIN): _S.DRAINING,
+    (_S.DRAINING, _E.DRAIN): _S.DRAINING,
+    (_S.DELETING, _E.DRAIN): _S.DELETING,
+    # Without an answer a deletion may still be carried out: nothing may be placed there again.
+    (_S.DELETING, _E.DELETE_FAILED): _S.DRAINING,
+    (_S.DELETING, _E.DELETED): _S.GONE,
+}
+for _state in (_S.BOOTING, _S.INHERITED, _S.UP, _S.DRAINING, _S.DELETING):
+    TRANSITIONS[_state, _E.DELETE] = _S.DELETING
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    type: MachineType | None
+    type_name: str
+    zone: str
+    spot: bool
+    state: MachineState
+    known_since: float
+    rented_at: float  # steady time of the rental, as well as it is known
+    addr: str = ""
+    session: int = 0
+    seq: int = -1
+    last_heard: float | None = None
+    up_since: float | None = None
+    taken_at: float | None = None  # when a notice runs out
+    tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    strangers: dict[tuple[str, int], int] = field(default_factory=dict)  # on it, in no record: attempt
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    errors: int = 0  # failed tasks in a row
+    idle_since: float | None = None
+    drain_reason: str = ""
+    listed_failed: bool = False
+    last_direct: float = 0.0
+    retry_delete_at: float = 0.0
+    slow: float = 1.0
+
+    def move(self, event: MachineEvent) -> MachineState:
+        """The one place where a machine changes its state."""
+        new = TRANSITIONS.get((self.state, event))
+        if new is not None:
+            self.state = new
+        return self.state
+
+    @property
+    def usable(self) -> bool:
+        return self.state is MachineState.UP
+
+    def remember_image(self, image: str, gb: float) -> None:
+        """Workers cache the most recently used images; this follows what they must hold."""
+        self.images[image] = gb
+        self.images.move_to_end(image)
+        room = self.type.cache_gb if self.type else 0.0
+        total = sum(self.images.values())
+        while len(self.images) > 1 and total > room:
+            total -= self.images.popitem(last=False)[1]
--- /dev/null
+++ b/winglift/node.py
@@ -0,0 +1,123 @@
+"""One controller node: its servers, its clients, and the leader's work while it leads."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import time
+
+from tornado.httpserver import HTTPServer
+
+from . import constants as c
+from .api.handlers import application
+from .api.jobs import Jobs, status_of
+from .cloud.client import CloudClient, CloudError
+from .cluster.link import Link
+from .config.settings import Settings, parse_addr
+from .controller import Controller
+from .model.leadership import Role
+from .store import records
+from .store.client import Health, StateClient
+from .store.election import Election
+from .wire import back
+from .wire.cloud import MachineType
+from .workers.reports import Reports
+
+log = logging.getLogger(__name__)
+
+
+class Node:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        params = settings.settings
+        self.state = StateClient(*parse_addr(settings.services.state, "services.state"), params.state, params.nodes)
+        self.cloud = CloudClient(*parse_addr(settings.services.cloud, "services.cloud"), params.cloud, params.nodes)
+        self.types: dict[str, MachineType] = {}
+        self.controller: Controller | None = None
+        self.election = Election(self.state, settings.node, self._on_change)
+        self.link = Link(settings.node, settings.seeds, self._mine, self._on_relay, self._on_job, self._on_peer)
+        self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
+        self.reports = Reports(self)
+        self._began = time.monotonic()
+
+    # -- what the parts ask --------------------------------------------------------------------
+
+    def _mine(self) -> back.PeerState:
+        leads = self.controller is not None and self.election.me.role is Role.LEADER
+        return back.PeerState(self.known_term(), leads, self.state.health() is Health.GOOD, self.settings.node)
+
+    def known_term(self) -> int:
+        return max(self.election.known_term, self.election.me.term, self.link.term())
+
+    async def _on_relay(self, body: bytes) -> tuple[int, bytes]:
+        return await self.reports.relayed(body)
+
+    def _on_job(self, note: back.JobNote) -> None:
+        if self.controller is not None and self.controller.loaded:
+            try:
+                record = records.decode(note.record)
+                self.controller.take_job(note.ref, note.version, record, time.monotonic())
+            except records.BadRecord as err:
+                log.warning("back link: %s", err)
+
+    def _on_peer(self, state: back.PeerState) -> None:
+        me = self.election.me
+        if me.role in (Role.LEADER, Role.DOUBTFUL) and state.term > me.term:
+            self.election.lose(f"{state.node} knows term {state.term}")
+
+    def _on_record(self, ref: str, version: int, record: records.JobRecord) -> None:
+        """This node has committed a change of a job: the leader hears of it at once."""
+        if self.controller is not None:
+            if self.controller.loaded:
+                self.controller.take_job(ref, version, record, time.monotonic())
+        else:
+            self.link.tell_leader(back.JobNote(version, ref, records.encode(record)))
+        self.jobs.remember_end(ref, status_of(record, ref))
+
+    def not_up(self) -> str | None:
+        """Why this node can't serve requests, or None. In an outage that all nodes share, it is as good as any."""
+        now = time.monotonic()
+        if not self.types and now - self._began < c.START_PATIENCE_S:
+            return "machine types are not known yet"
+        if self.state.health() is Health.DOWN and self.link.state_works_elsewhere(now):
+            return "the state service refuses this node"
+        return None
+
+    def _on_change(self) -> None:
+        """The role has changed: begin or end the leader's work."""
+        if self.election.me.role is Role.LEADER:
+            self.controller = Controller(self.settings, self.state, self.cloud, self.election, self.types)
+            self.cloud.set_leading(True)
+            self.controller.start()
+        elif self.controller is not None:
+            self.controller.stop()
+            self.controller = None
+            self.cloud.set_leading(False)
+
+    # -- running -------------------------------------------------------------------------------
+
+    async def _keep_types(self) -> None:
+        while True:
+            try:
+                found = await self.cloud.types()
+                self.types.clear()
+                self.types.update(found)
+                for machine in self.controller.picture.machines.values() if self.controller else ():
+                    machine.type = found.get(machine.type_name, machine.type)
+            except CloudError as err:
+                log.info("machine types: %s", err)
+            await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
+
+    async def run(self) -> None:
+        server = HTTPServer(application(self), max_body_size=c.MAX_BODY, idle_connection_timeout=75.0)
+        host, port = parse_addr(self.settings.client_listen, "client_listen")
+        server.listen(port, host)
+        back_host, back_port = parse_addr(self.settings.back, "back")
+        self.link.listen(back_port, back_host)
+        self.link.start()
+        log.info("node %s in %s listens on %s", self.settings.node, self.settings.zone, self.settings.client_listen)
+        # What start-up has built lives on: the collector need not look at it again.
+        gc.collect()
+        gc.freeze()
+        await asyncio.gather(self._keep_types(), self.election.run())
--- /dev/null
+++ b/winglift/policy/plan.py
@@ -0,0 +1,524 @@
+"""One scheduling cycle: which tasks go where, what is stopped for them, what is rented and returned.
+
+A pure function of a snapshot. The order and the search follow EPSM (Rodriguez & Buyya, section 4): ready tasks
+by sub-deadline; machines with the image, then any with room; a task waits a cycle while its slack allows;
+otherwise room on booting machines, otherwise the cheapest adequate rental. Priorities, teams, gangs and zones
+are winglift's own.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from .. import constants as c
+from ..model.teams import Ledger
+from ..wire.cloud import MachineType
+from ..wire.users import Kind, Submission
+
+EPS = 1e-6
+
+
+@dataclass(slots=True)
+class Victim:
+    """A task that might be stopped to make room."""
+
+    ref: str
+    index: int
+    rank: int
+    team: str
+    cpus: float
+    gpus: float
+    memory_gb: float
+    lost_s: float  # work that stopping it would cost
+    group: int  # tasks that stop with it
+
+
+@dataclass(slots=True)
+class Room:
+    """What is free on one machine, existing, booting or to be rented."""
+
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    cpus: float
+    gpus: float
+    memory_gb: float
+    ready_in: float = 0.0  # s until it can take tasks
+    images: frozenset[str] | set[str] = frozenset()
+    victims: list[Victim] = field(default_factory=list)
+    soon: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])  # room of tasks being stopped
+    empty: bool = False
+    rent: int = -1  # place in the plan's rentals, for machines not rented yet
+
+    def fits(self, spec: Submission) -> bool:
+        return (spec.gpus <= self.gpus + EPS and spec.cpus <= self.cpus + EPS
+                and spec.memory_gb <= self.memory_gb + EPS)
+
+    def fits_soon(self, spec: Submission) -> bool:
+        return (spec.gpus <= self.gpus + self.soon[1] + EPS and spec.cpus <= self.cpus + self.soon[0] + EPS
+                and spec.memory_gb <= self.memory_gb + self.soon[2] + EPS)
+
+    def take(self, spec: Submission) -> None:
+        self.cpus -= spec.cpus
+        self.gpus -= spec.gpus
+        self.memory_gb -= spec.memory_gb
+        self.empty = False
+
+    def give(self, spec: Submission) -> None:
+        self.cpus += spec.cpus
+        self.gpus += spec.gpus
+        self.memory_gb += spec.memory_gb
+
+    def allowed(self, spec: Submission) -> bool:
+        return ((spec.spot or not self.spot) and (spec.zone is None or spec.zone == self.zone)
+                and (spec.types is None or self.type.name in spec.types))
+
+
+@dataclass(slots=True)
+class Need:
+    """A job's waiting tasks."""
+
+    ref: str
+    spec: Submission
+    indices: list[int]
+    sub_deadline: float
+    run_s: float
+    zones: dict[str, int]  # tasks it has, per zone
+    within: bool = False  # within its team's guarantee
+    left: list[int] = field(default_factory=list)
+
+
+@dataclass(slots=True)
+class Rental:
+    type: str
+    zone: str
+    spot: bool
+    count: int = 1
+
+
+@dataclass(slots=True)
+class Reserve:
+    """Room kept warm in a zone for work that must start sooner than a machine boots."""
+
+    spec: Submission
+    zone: str
+    count: int
+
+
+@dataclass(slots=True)
+class Snapshot:
+    now: float  # time of day
+    rooms: list[Room]
+    needs: list[Need]
+    ledger: Ledger
+    types: dict[str, MachineType]
+    refused: set[tuple[str, str, bool]]  # type, zone, spot: recently without capacity
+    reserves: list[Reserve] = field(default_factory=list)
+    may_rent: bool = True
+    machines_per_zone: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class Plan:
+    starts: list[tuple[str, list[tuple[int, str]]]] = field(default_factory=list)
+    stops: list[tuple[str, int, str]] = field(default_factory=list)  # job, task, for whom
+    rentals: list[Rental] = field(default_factory=list)
+    waiting: dict[str, str] = field(default_factory=dict)  # job: why its tasks wait
+    spare: set[str] = field(default_factory=set)  # empty machines that nothing needs
+
+
+def order(need: Need) -> tuple[int, float, str]:
+    """Earliest sub-deadline first; work that may preempt other work goes before it, or it would stop it next."""
+    return (-need.spec.priority.rank, need.sub_deadline, need.ref)
+
+
+def fetch_s(room: Room, spec: Submission) -> float:
+    return 0.0 if spec.image in room.images else spec.image_gb / max(room.type.fetch_gb_per_s, 1e-3)
+
+
+class Planner:
+    def __init__(self, snap: Snapshot) -> None:
+        self.snap = snap
+        self.plan = Plan()
+        self.rooms = snap.rooms
+        self.up = [r for r in self.rooms if r.ready_in <= 0]
+        self.coming = sorted((r for r in self.rooms if r.ready_in > 0), key=lambda r: r.ready_in)
+        self.budget: dict[str, tuple[float, float]] = {}  # team: tasks by amounts already given in this cycle
+        self.stopped: set[tuple[str, int]] = set()
+        self.per_zone = dict(snap.machines_per_zone)
+        for room in self.rooms:
+            self.per_zone[room.zone] = self.per_zone.get(room.zone, 0) + 1
+
+    # -- rules ---------------------------------------------------------------------------------
+
+    def _zone_ok(self, need: Need, zone: str, placed: dict[str, int]) -> bool:
+        spec = need.spec
+        if spec.one_zone and any(n and z != zone for z, n in placed.items()):
+            return False
+        return not spec.spread or placed.get(zone, 0) + placed.get("", 0) < (spec.tasks + 1) // 2
+
+    # -- search --------------------------------------------------------------------------------
+
+    def _best(self, need: Need, rooms: Iterable[Room], placed: dict[str, int], soon: bool = False) -> Room | None:
+        """The machine-with-image search, then any: the cheapest room that meets the sub-deadline.
+
+        On machines that are already paid for, cheap means: of the cheap kind, and filling a machine up,
+        so that others become empty and can be returned.
+        """
+        spec, now = need.spec, self.snap.now
+        best: Room | None = None
+        best_key: tuple | None = None
+        for room in rooms:
+            if not (room.fits_soon(spec) if soon else room.fits(spec)):
+                continue
+            if not room.allowed(spec) or not self._zone_ok(need, room.zone, placed):
+                continue
+            fetch = fetch_s(room, spec)
+            end = now + room.ready_in + fetch + need.run_s
+            late = end > need.sub_deadline and spec.due_s is not None
+            key = (late, room.ready_in > 0 and room.ready_in, placed.get(room.zone, 0) if spec.spread else 0,
+                   fetch > 0, spec.spot and not room.spot, room.gpus - spec.gpus, room.cpus, end)
+            if best_key is None or key < best_key:
+                best, best_key = room, key
+        return best
+
+    def _victims(self, need: Need, room: Room) -> list[Victim] | None:
+        """The cheapest set of tasks on one machine whose stop makes room, or None."""
+        spec = need.spec
+        allowed = []
+        for victim in room.victims:
+            if (victim.ref, victim.index) in self.stopped:
+                continue
+            lower = victim.rank < spec.priority.rank
+            owed = (need.within and victim.team != spec.team and victim.rank < 3
+                    and self.snap.ledger.borrows(victim.team))
+            if lower or owed:
+                allowed.append(victim)
+        allowed.sort(key=lambda v: (v.rank, v.lost_s * v.group))
+        cpus, gpus, mem = room.cpus + room.soon[0], room.gpus + room.soon[1], room.memory_gb + room.soon[2]
+        chosen: list[Victim] = []
+        for victim in allowed:
+            if spec.gpus <= gpus + EPS and spec.cpus <= cpus + EPS and spec.memory_gb <= mem + EPS:
+                break
+            chosen.append(victim)
+            cpus, gpus, mem = cpus + victim.cpus, gpus + victim.gpus, mem + victim.memory_gb
+        if spec.gpus <= gpus + EPS and spec.cpus <= cpus + EPS and spec.memory_gb <= mem + EPS:
+            return chosen
+        return None
+
+    def _preempt(self, need: Need, placed: dict[str, int]) -> Room | None:
+        best: tuple | None = None
+        for room in self.up:
+            if not room.victims or not room.allowed(need.spec) or not self._zone_ok(need, room.zone, placed):
+                continue
+            chosen = self._victims(need, room)
+            if not chosen:
+                continue
+            cost = (max(v.rank for v in chosen), sum(v.lost_s * v.group for v in chosen) + fetch_s(room, need.spec))
+            if best is None or cost < best[0]:
+                best = (cost, room, chosen)
+        if best is None:
+            return None
+        _, room, chosen = best
+        for victim in chosen:
+            self.stopped.add((victim.ref, victim.index))
+            self.plan.stops.append((victim.ref, victim.index, need.ref))
+            room.soon[0] += victim.cpus
+            room.soon[1] += victim.gpus
+            room.soon[2] += victim.memory_gb
+        return room
+
+    def _rent(self, need: Need, placed: dict[str, int]) -> Room | None:
+        """The cheapest type that meets the sub-deadline counting its boot, or else the fastest."""
+        spec, now = need.spec, self.snap.now
+        best: tuple | None = None
+        for mtype in self.snap.types.values():
+            if spec.types is not None and mtype.name not in spec.types:
+                continue
+            if spec.cpus > mtype.cpus + EPS or spec.gpus > mtype.gpus + EPS or spec.memory_gb > mtype.memory_gb + EPS:
+                continue
+            ready = mtype.boot_s + spec.image_gb / max(mtype.fetch_gb_per_s, 1e-3) + need.run_s
+            late = now + ready > need.sub_deadline
+            for zone in mtype.zones:
+                if (spec.zone is not None and zone != spec.zone) or not self._zone_ok(need, zone, placed):
+                    continue
+                for spot in ((True, False) if spec.spot and mtype.spot_price is not None else (False,)):
+                    if (mtype.name, zone, spot) in self.snap.refused:
+                        continue
+                    price = (mtype.spot_price if spot else mtype.price) or mtype.price
+                    share = max(spec.gpus / mtype.gpus if mtype.gpus else 0, spec.cpus / mtype.cpus)
+                    key = (late, ready if late else 0.0, price * share, placed.get(zone, 0),
+                           self.per_zone.get(zone, 0), zone)
+                    if best is None or key < best[0]:
+                        best = (key, mtype, zone, spot)
+        if best is None:
+            return None
+        _, mtype, zone, spot = best
+        room = Room(f"new-{len(self.plan.rentals)}", mtype, zone, spot, mtype.cpus, mtype.gpus, mtype.memory_gb,
+                    ready_in=mtype.boot_s, rent=len(self.plan.rentals))
+        self.plan.rentals.append(Rental(mtype.name, zone, spot))
+        self.per_zone[zone] = self.per_zone.get(zone, 0) + 1
+        self.coming.append(room)
+        return room
+
+    def must_start(self, need: Need) -> bool:
+        """Is the slack used up? Remaining time minus boot, fetch and run time minus a cycle (the slack wait)."""
+        if need.spec.due_s is None:
+            return True
+        cheapest = min((t for t in self.snap.types.values() if need.spec.types is None or t.name in need.spec.types),
+                       key=lambda t: t.price, default=None)
+        boot = cheapest.boot_s + need.spec.image_gb / max(cheapest.fetch_gb_per_s, 1e-3) if cheapest else 0.0
+        return need.sub_deadline - self.snap.now - need.run_s - boot - c.CYCLE_S <= 0
+
+    # -- jobs ----------------------------------------------------------------------------------
+
+    def singles(self, need: Need) -> None:
+        """Arrays and services: every task for itself."""
+        spec = need.spec
+        room_left = self._team_room(need)
+        placed = dict(need.zones)
+        starts: list[tuple[int, str]] = []
+        blocked_up = False
+        must = self.must_start(need)
+        for index in need.indices:
+            if room_left <= 0:
+                self.plan.waiting[need.ref] = "team limit"
+                break
+            room = None if blocked_up else self._best(need, self.up, placed)
+            if room is not None:
+                room.take(spec)
+                room_left -= 1
+                placed[room.zone] = placed.get(room.zone, 0) + 1
+                starts.append((index, room.name))
+                continue
+            blocked_up = True
+            room = self._best(need, self.up, placed, soon=True)
+            if room is None:
+                room = self._preempt(need, placed)
+            if room is not None:
+                self._promise(room, spec, placed)
+                room_left -= 1
+                self.plan.waiting[need.ref] = "room is being made"
+                continue
+            if not must:
+                self.plan.waiting[need.ref] = "slack"
+                break
+            room = self._best(need, self.coming, placed)
+            if room is None and self.snap.may_rent:
+                room = self._rent(need, placed)
+            if room is None:
+                self.plan.waiting[need.ref] = "nothing to rent"
+                break
+            self._promise(room, spec, placed)
+            room_left -= 1
+            self.plan.waiting[need.ref] = "machines are booting"
+        if starts:
+            self._spend(need, len(starts))
+            self.plan.starts.append((need.ref, starts))
+
+    def _promise(self, room: Room, spec: Submission, placed: dict[str, int]) -> None:
+        """Keep room for a task that can't start yet, so that later tasks don't count on it too."""
+        room.take(spec)
+        placed[room.zone] = placed.get(room.zone, 0) + 1
+
+    def _team_room(self, need: Need) -> int:
+        spec = need.spec
+        given = self.budget.get(spec.team, (0.0, 0.0))
+        team = self.snap.ledger.teams.get(spec.team)
+        if team is None:
+            return 0
+        used = self.snap.ledger.used[spec.team]
+        most = 1_000_000
+        for cap, want, has in ((team.cpus_max, spec.cpus, used.cpus + given[0]),
+                               (team.gpus_max, spec.gpus, used.gpus + given[1])):
+            if cap > 0 and want > 0:
+                most = min(most, math.floor((cap - has + EPS) / want))
+        return max(0, most)
+
+    def _spend(self, need: Need, tasks: int) -> None:
+        cpus, gpus = self.budget.get(need.spec.team, (0.0, 0.0))
+        self.budget[need.spec.team] = (cpus + need.spec.cpus * tasks, gpus + need.spec.gpus * tasks)
+
+    def gang(self, need: Need) -> None:
+        """All tasks find a place or none takes one, so that two gangs never hold halves."""
+        spec = need.spec
+        if self._team_room(need) < len(need.indices):
+            self.plan.waiting[need.ref] = "team limit"
+            return
+        found = self._gang_rooms(need, self.up, soon=False)
+        if found is not None:
+            self._spend(need, len(found))
+            self.plan.starts.append((need.ref, list(zip(need.indices, [r.name for r in found], strict=True))))
+            return
+        found = self._gang_rooms(need, self.up, soon=True)
+        if found is not None:
+            self.plan.waiting[need.ref] = "room is being made"
+            return
+        if self._gang_preempt(need):
+            self.plan.waiting[need.ref] = "room is being made"
+            return
+        if not self.must_start(need):
+            self.plan.waiting[need.ref] = "slack"
+            return
+        if self._gang_rooms(need, self.rooms_with_coming(), soon=True) is not None:
+            self.plan.waiting[need.ref] = "machines are booting"
+            return
+        if self.snap.may_rent and self._gang_rent(need):
+            self.plan.waiting[need.ref] = "machines are booting"
+            return
+        self.plan.waiting[need.ref] = "nothing to rent"
+        del spec
+
+    def rooms_with_coming(self) -> list[Room]:
+        return self.up + self.coming
+
+    def _zones(self, need: Need) -> list[str | None]:
+        if not need.spec.one_zone:
+            return [None]
+        zones = {r.zone for r in self.up} | {r.zone for r in self.coming} | {z for t in self.snap.types.values()
+                                                                               for z in t.zones}
+        return sorted(zones, key=lambda z: (-sum(r.gpus for r in self.up if r.zone == z), z))
+
+    def _gang_rooms(self, need: Need, rooms: list[Room], soon: bool) -> list[Room] | None:
+        """Places for all tasks of a gang, taken; or None with nothing taken."""
+        for zone in self._zones(need):
+            candidates = [r for r in rooms if zone is None or r.zone == zone]
+            placed = dict(need.zones)
+            taken: list[Room] = []
+            for _ in need.indices:
+                room = self._best(need, candidates, placed, soon)
+                if room is None:
+                    break
+                room.take(need.spec)
+                placed[room.zone] = placed.get(room.zone, 0) + 1
+                taken.append(room)
+            if len(taken) == len(need.indices):
+                return taken
+            for room in taken:
+                room.give(need.spec)
+        return None
+
+    def _gang_preempt(self, need: Need) -> bool:
+        """Make room for a whole gang by stopping other work, or stop nothing."""
+        best: tuple | None = None
+        spec = need.spec
+        for zone in self._zones(need):
+            rooms = [r for r in self.up if (zone is None or r.zone == zone) and r.allowed(spec)]
+            options: list[tuple[float, Room, list[Victim]]] = []
+            for room in rooms:
+                if room.fits_soon(spec):
+                    options.append((0.0, room, []))
+                    continue
+                chosen = self._victims(need, room) if room.victims else None
+                if chosen:
+                    options.append((sum(v.lost_s * v.group for v in chosen) + 1.0, room, chosen))
+            options.sort(key=lambda o: o[0])
+            # Each machine is counted for one task here; a gang that fits several on one is found by _gang_rooms.
+            if len(options) >= len(need.indices):
+                picked = options[:len(need.indices)]
+                cost = sum(o[0] for o in picked)
+                if best is None or cost < best[0]:
+                    best = (cost, picked)
+        if best is None:
+            return False
+        for _, room, chosen in best[1]:
+            for victim in chosen:
+                self.stopped.add((victim.ref, victim.index))
+                self.plan.stops.append((victim.ref, victim.index, need.ref))
+                room.soon[0] += victim.cpus
+                room.soon[1] += victim.gpus
+                room.soon[2] += victim.memory_gb
+            room.take(spec)
+        return True
+
+    def _gang_rent(self, need: Need) -> bool:
+        """Rent what a gang lacks in the zone where it lacks least."""
+        spec = need.spec
+        before = len(self.plan.rentals), len(self.coming), dict(self.per_zone)
+        options = []
+        for zone in self._zones(need):
+            fitting = sum(1 for r in self.rooms_with_coming()
+                          if (zone is None or r.zone == zone) and r.allowed(spec) and r.fits_soon(spec))
+            options.append((len(need.indices) - fitting, zone))
+        for _, zone in sorted(options, key=lambda o: (o[0], o[1] or "")):
+            taken: list[Room] = []
+            placed = dict(need.zones)
+            if zone is not None:
+                placed[zone] = placed.get(zone, 0) + 1
+            for _ in need.indices:
+                rooms = [r for r in self.rooms_with_coming() if zone is None or r.zone == zone]
+                room = self._best(need, rooms, placed, soon=True) or self._rent(need, placed)
+                if room is None or (zone is not None and room.zone != zone):
+                    break
+                room.take(spec)
+                taken.append(room)
+            if len(taken) == len(need.indices):
+                return True
+            for room in taken:
+                room.give(spec)
+            del self.plan.rentals[before[0]:]
+            del self.coming[before[1]:]
+            self.per_zone = dict(before[2])
+        return False
+
+    # -- reserve -------------------------------------------------------------------------------
+
+    def reserve(self, reserve: Reserve) -> None:
+        """Room that is warm: free, or taken by work that would give way."""
+        spec, left = reserve.spec, reserve.count
+        for room in self.up + self.coming:
+            if left <= 0:
+                return
+            if room.zone != reserve.zone or not room.allowed(spec):
+                continue
+            gpus = room.gpus + room.soon[1] + sum(v.gpus for v in room.victims if v.rank < spec.priority.rank)
+            cpus = room.cpus + room.soon[0] + sum(v.cpus for v in room.victims if v.rank < spec.priority.rank)
+            fit = int(min(gpus / spec.gpus if spec.gpus else math.inf, cpus / spec.cpus if spec.cpus else math.inf,
+                          left) + EPS)
+            if fit > 0:
+                room.empty = False
+                left -= fit
+        need = Need("reserve", spec, [], self.snap.now, 0.0, {})
+        while left > 0 and self.snap.may_rent:
+            pinned = Need(need.ref, _in_zone(spec, reserve.zone), [], self.snap.now, 0.0, {})
+            rented = self._rent(pinned, {})
+            if rented is None:
+                return
+            left -= max(1, int(min(rented.gpus / spec.gpus if spec.gpus else math.inf,
+                                   rented.cpus / spec.cpus if spec.cpus else math.inf, left) + EPS))
+
+    def run(self) -> Plan:
+        for need in sorted(self.snap.needs, key=order):
+            if need.spec.kind is Kind.GANG:
+                self.gang(need)
+            else:
+                self.singles(need)
+        for reserve in self.snap.reserves:
+            self.reserve(reserve)
+        self.plan.spare = {r.name for r in self.up if r.empty}
+        return self.plan
+
+
+def _in_zone(spec: Submission, zone: str) -> Submission:
+    return msgspec.structs.replace(spec, zone=zone, spread=False, one_zone=False)
+
+
+def make_plan(snap: Snapshot) -> Plan:
+    return Planner(snap).run()
+
+
+def merge_rentals(rentals: list[Rental]) -> list[Rental]:
+    """One request for what is of one type, zone and kind."""
+    merged: dict[tuple[str, str, bool], Rental] = {}
+    for rental in rentals:
+        key = (rental.type, rental.zone, rental.spot)
+        if key in merged:
+            merged[key].count += 1
+        else:
+            merged[key] = Rental(rental.type, rental.zone, rental.spot)
+    return list(merged.values())
--- /dev/null
+++ b/winglift/policy/split.py
@@ -0,0 +1,58 @@
+"""Division of a job's deadline among its steps (Rodriguez & Buyya, section 4)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+
+def finish_times(run_s: Mapping[str, float], parents: Mapping[str, Sequence[str]],
+                 known: Mapping[str, float], start: float) -> dict[str, float]:
+    """Earliest finish of each step; `known` holds real ends of steps that are over."""
+    finish: dict[str, float] = {}
+    pending = dict.fromkeys(run_s)
+    while pending:
+        ready = [s for s in pending if all(p in finish for p in parents.get(s, ()))]
+        if not ready:
+            raise ValueError("the steps depend on one another in a circle")
+        for step in ready:
+            begin = max([start, *(finish[p] for p in parents.get(step, ()))])
+            finish[step] = known.get(step, begin + run_s[step])
+            del pending[step]
+    return finish
+
+
+def split_deadline(estimates: Sequence[Mapping[str, float]], parents: Mapping[str, Sequence[str]],
+                   start: float, deadline: float, known: Mapping[str, float] | None = None) -> dict[str, float]:
+    """Sub-deadline of each step.
+
+    `estimates` holds run times by step, one mapping per machine type, slowest first. The slowest type whose
+    makespan meets the deadline counts, or else the fastest. The time left over goes to the steps of the chain
+    that leads to each step in proportion to run time. `known` holds real ends: passing them redoes the split
+    for the later steps.
+    """
+    ends = known or {}
+    finish: dict[str, float] = {}
+    run_s: Mapping[str, float] = {}
+    for run_s in estimates:
+        finish = finish_times(run_s, parents, ends, start)
+        if max(finish.values()) <= deadline:
+            break
+    begin = max([start, *ends.values()]) if ends else start
+    span = max(finish.values()) - begin
+    spare = deadline - max(finish.values())
+    # Stretching every step by the same ratio gives each a share in proportion to its run time; when the
+    # deadline can't be met the steps keep their earliest finishes.
+    stretch = 1 + spare / span if span > 0 and spare > 0 else 1.0
+    result: dict[str, float] = {}
+    for step, end in finish.items():
+        result[step] = ends[step] if step in ends else begin + max(0.0, end - begin) * stretch
+    if span <= 0:
+        result.update({s: deadline for s in result if s not in ends and spare > 0})
+    return result
+
+
+def sub_deadline(submitted: float, due: float | None, run_s: float) -> float:
+    """Sub-deadline of a job's only step. Without a deadline it is due now: at its submission."""
+    if due is None:
+        return submitted
+    return split_deadline([{"": run_s}], {}, submitted, due)[""]
--- /dev/null
+++ b/winglift/store/__init__.py
@@ -0,0 +1,1 @@
+"""State service: client, job records, write batching, election."""
--- /dev/null
+++ b/winglift/store/batcher.py
@@ -0,0 +1,135 @@
+"""Writes job records: several jobs in one transaction, each on its own revision, all fenced by leadership."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from .. import constants as c
+from ..config.settings import State
+from ..model.job import Job
+from ..model.leadership import Leadership
+from ..model.picture import TIDY, Picture
+from ..model.task import TaskEvent, TaskState
+from ..wire import state as wire
+from . import records
+from .client import LeaseGone, Refused, StateClient, Unknown
+
+log = logging.getLogger(__name__)
+
+MAX_TXN = 60 * 1024  # bytes; a transaction may hold 64 KiB in all
+
+
+def pack(job: Job) -> records.JobRecord:
+    low, bits = records.pack_done(job.done)
+    return records.JobRecord(
+        submitted=job.submitted, spec=job.spec, state=job.state.value, next_attempt=job.next_attempt,
+        low=low, bits=bits, places=records.pack_places(job.active),
+    )
+
+
+class Batcher:
+    def __init__(self, state: StateClient, limits: State, picture: Picture, me: Leadership) -> None:
+        self.state = state
+        self.limits = limits
+        self.picture = picture
+        self.me = me
+        self.lost = False  # the leader key has another revision
+        self._running: set[asyncio.Task] = set()
+        self.most_bytes = int(limits.value_kb * 1024)
+
+    def fits(self, job: Job) -> bool:
+        return len(msgspec.json.encode(pack(job))) <= self.most_bytes - c.RECORD_SPARE_BYTES
+
+    def flush(self, now: float) -> None:
+        """Start as many transactions as there are changes and free slots. Urgent changes go first."""
+        if len(self._running) >= c.COMMIT_PARALLEL or self.lost:
+            return
+        due = [j for j in self.picture.jobs.values()
+               if j.dirty and not j.writing and (j.dirty < TIDY or j.is_open is False or now >= j.tidy_at)]
+        due.sort(key=lambda j: j.dirty)
+        while due and len(self._running) < c.COMMIT_PARALLEL:
+            batch: list[tuple[Job, records.JobRecord]] = []
+            size = 0
+            while due and len(batch) < self.limits.txn_ops:
+                job = due[0]
+                record = pack(job)
+                length = len(msgspec.json.encode(record))
+                if batch and size + length > MAX_TXN:
+                    break
+                due.pop(0)
+                size += length
+                batch.append((job, record))
+            levels = {}
+            for job, _ in batch:
+                levels[job.ref] = job.dirty
+                job.dirty = 0
+                job.writing = True
+            task = asyncio.ensure_future(self._write(batch, levels))
+            self._running.add(task)
+            task.add_done_callback(self._running.discard)
+
+    async def _write(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
+        # Every leader write is conditional on the leadership key at its revision (invariant 1).
+        conditions = [wire.Condition(records.LEADER, self.me.revision)]
+        conditions += [wire.Condition(records.JOB + j.ref, j.version) for j, _ in batch]
+        changes = [wire.Put(records.JOB + j.ref, record) for j, record in batch]
+        try:
+            result = await self.state.commit(wire.Transaction(conditions, changes), max_wait=3.0)
+        except (Refused, LeaseGone) as err:
+            log.debug("write refused: %s", err)
+            self._again(batch, levels)
+            await asyncio.sleep(0.1)
+        except Unknown as err:
+            # It may have been executed or may yet be: read before deciding anything else.
+            log.info("write without an answer, reading again: %s", err)
+            self._again(batch, levels)
+            for job, _ in batch:
+                await self._reread(job)
+        else:
+            now = time.monotonic()
+            if isinstance(result, wire.Committed):
+                for job, record in batch:
+                    self.picture.committed(job, result.revision, record, now)
+            else:
+                self._again(batch, levels)
+                if records.LEADER in result.failed:
+                    self.lost = True
+                else:
+                    for job, _ in batch:
+                        if records.JOB + job.ref in result.failed:
+                            await self._reread(job)
+        finally:
+            for job, _ in batch:
+                job.writing = False
+                if job.pending is not None:
+                    version, value = job.pending
+                    job.pending = None
+                    self.picture.apply_record(job.ref, version, records.decode(value), time.monotonic())
+            self.picture.changed = True
+
+    def _again(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
+        for job, _ in batch:
+            job.mark(levels[job.ref])
+
+    async def _reread(self, job: Job) -> None:
+        while not self.lost and self.me.term == self.picture.term:
+            try:
+                item = await self.state.get(records.JOB + job.ref)
+                break
+            except (Refused, Unknown):
+                await asyncio.sleep(0.3)
+        else:
+            return
+        if item is not None:
+            job.writing = False
+            self.picture.apply_record(job.ref, item.version, records.decode(item.value), time.monotonic())
+
+    def reject(self, job: Job, now: float, keep: int) -> None:
+        """Take back proposals that would not fit into the record."""
+        proposed = [t for t in job.active.values() if t.state is TaskState.PROPOSED]
+        for task in proposed[keep:]:
+            self.picture._drop(task, TaskEvent.REJECT, now)
--- /dev/null
+++ b/winglift/store/client.py
@@ -0,0 +1,207 @@
+"""Client of the state service, within its budget. Says what is known, and what is not."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from enum import Enum
+from typing import Any
+from urllib.parse import quote
+
+import msgspec
+
+from .. import constants as c
+from ..config.settings import State
+from ..net.budget import Budget
+from ..net.client import Client, NotSent, Reply, Unanswered
+from ..wire import state as wire
+
+log = logging.getLogger(__name__)
+
+
+class Refused(Exception):
+    """The request was certainly not executed: 429, 503, no connection, or no budget left."""
+
+
+class Unknown(Exception):
+    """No answer: the request may have been executed, or may yet be."""
+
+
+class LeaseGone(Exception):
+    """The lease of a request has ended."""
+
+
+class TooOld(Exception):
+    """The service no longer keeps the changes asked for."""
+
+
+class Health(Enum):
+    GOOD = "good"
+    DOUBTFUL = "doubtful"
+    DOWN = "down"
+
+
+_page = msgspec.json.Decoder(wire.Page)
+_item = msgspec.json.Decoder(wire.Item)
+_committed = msgspec.json.Decoder(wire.Committed)
+_conflict = msgspec.json.Decoder(wire.Conflict)
+_grant = msgspec.json.Decoder(wire.Grant)
+_changes = msgspec.json.Decoder(wire.Changes)
+
+
+def _decode(decoder: Any, body: bytes) -> Any:
+    try:
+        return decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise Unknown(f"odd answer of the state service: {err}") from None
+
+
+class StateClient:
+    def __init__(self, host: str, port: int, limits: State, nodes: int) -> None:
+        self._http = Client(host, port)
+        self._limits = limits
+        self._nodes = nodes
+        self._reads = Budget(limits.rps, limits.rps)
+        self._writes = Budget(limits.write_rps, limits.write_rps)
+        self._last_good = time.monotonic()
+        self._bad_since: float | None = None
+        self._next_probe = 0.0
+        self.set_leading(False)
+
+    def set_leading(self, leads: bool) -> None:
+        """All nodes share the service's budget: the leader takes the larger part."""
+        rest = (1 - c.LEADER_SHARE) / max(1, self._nodes - 1) if self._nodes > 1 else 1.0
+        share = (c.LEADER_SHARE if self._nodes > 1 else 1.0) if leads else rest
+        now = time.monotonic()
+        self._reads.resize(max(2.0, self._limits.rps * share), max(2.0, self._limits.rps * share), now)
+        writes = max(1.0, self._limits.write_rps * share)
+        self._writes.resize(writes, writes, now)
+
+    # -- health --------------------------------------------------------------------------------
+
+    def health(self) -> Health:
+        if self._bad_since is None:
+            return Health.GOOD
+        if time.monotonic() - self._bad_since < c.STATE_DOWN_AFTER_S:
+            return Health.DOUBTFUL
+        return Health.DOWN
+
+    def _note(self, good: bool) -> None:
+        now = time.monotonic()
+        if good:
+            if self._bad_since is not None and now - self._bad_since >= c.STATE_DOWN_AFTER_S:
+                log.info("state service answers again after %.1f s", now - self._bad_since)
+            self._bad_since = None
+            self._last_good = now
+        elif self._bad_since is None:
+            self._bad_since = now
+
+    def _gate(self) -> None:
+        """While the service is down, one request per STATE_PROBE_S finds out; the rest are refused at once,
+        so that users' connections don't pile up behind a service that does not answer."""
+        if self.health() is Health.DOWN:
+            now = time.monotonic()
+            if now < self._next_probe:
+                raise Refused("state service is down")
+            self._next_probe = now + c.STATE_PROBE_S
+
+    async def _pace(self, budget: Budget, amount: float, max_wait: float) -> None:
+        wait = budget.wait_s(time.monotonic(), amount)
+        if wait > max_wait:
+            raise Refused("budget of the state service used up")
+        while not budget.take(time.monotonic(), amount):
+            await asyncio.sleep(budget.wait_s(time.monotonic(), amount) + 0.002)
+
+    async def _call(self, method: str, path: str, body: bytes | None = None, timeout: float = c.STATE_TIMEOUT_S,
+                    max_wait: float = c.MAX_QUEUE_S, changes: int = 0, urgent: bool = False) -> Reply:
+        if not urgent:
+            self._gate()
+            await self._pace(self._reads, 1, max_wait)
+        if changes:
+            await self._pace(self._writes, changes, max_wait)
+        try:
+            reply = await self._http.request(method, path, body, timeout)
+        except NotSent as err:
+            self._note(False)
+            raise Refused(str(err)) from None
+        except Unanswered as err:
+            self._note(False)
+            raise Unknown(str(err)) from None
+        if reply.status == 429:
+            self._reads.penalise(time.monotonic())
+            if changes:
+                self._writes.penalise(time.monotonic())
+            raise Refused("state service: 429")
+        if reply.status >= 500:
+            self._note(False)
+            raise Refused(f"state service: {reply.status}")
+        self._note(True)
+        return reply
+
+    # -- requests ------------------------------------------------------------------------------
+
+    async def get(self, key: str, timeout: float = c.STATE_TIMEOUT_S, urgent: bool = False) -> wire.Item | None:
+        reply = await self._call("GET", f"/store/{quote(key)}", timeout=timeout, urgent=urgent)
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise Refused(f"state service: {reply.status} for {key}")
+        return _decode(_item, reply.body)
+
+    async def list(self, prefix: str) -> tuple[list[wire.Item], int]:
+        """All keys with the prefix, and a revision that is not newer than any page of it."""
+        items: list[wire.Item] = []
+        revision = 0
+        after = ""
+        while True:
+            path = f"/store?prefix={quote(prefix)}&limit={c.LIST_LIMIT}" + (f"&after={quote(after)}" if after else "")
+            reply = await self._call("GET", path, timeout=3.0, max_wait=2.0)
+            if reply.status != 200:
+                raise Refused(f"state service: {reply.status} for a list")
+            page = _decode(_page, reply.body)
+            # Watching from the first page's revision sees again what changed during the listing.
+            revision = revision or page.revision
+            items += page.items
+            if not page.more or not page.items:
+                return items, revision
+            after = page.items[-1].key
+
+    async def commit(self, txn: wire.Transaction, timeout: float = c.STATE_TIMEOUT_S,
+                     max_wait: float = c.MAX_QUEUE_S, urgent: bool = False) -> wire.Committed | wire.Conflict:
+        body = msgspec.json.encode(txn)
+        reply = await self._call("POST", "/commit", body, timeout, max_wait, len(txn.changes), urgent)
+        if reply.status == 200:
+            return _decode(_committed, reply.body)
+        if reply.status == 409:
+            return _decode(_conflict, reply.body)
+        if reply.status == 400 and b"lease" in reply.body:
+            raise LeaseGone
+        raise Refused(f"state service: {reply.status} {reply.body[:200]!r}")
+
+    async def grant(self, ttl_s: float) -> int:
+        body = msgspec.json.encode(wire.GrantRequest(int(ttl_s * 1000)))
+        reply = await self._call("POST", "/grants", body)
+        if reply.status not in (200, 201):
+            raise Refused(f"state service: {reply.status} for a lease")
+        return _decode(_grant, reply.body).lease
+
+    async def touch(self, lease: int, timeout: float) -> None:
+        # Renewals skip the budget: a leader must not lose its lease to its own bookkeeping.
+        reply = await self._call("POST", f"/grants/{lease}/touch", b"{}", timeout=timeout, urgent=True)
+        if reply.status == 404:
+            raise LeaseGone
+        if reply.status != 200:
+            raise Refused(f"state service: {reply.status} for a renewal")
+
+    async def release(self, lease: int) -> None:
+        await self._call("DELETE", f"/grants/{lease}", urgent=True)
+
+    async def changes(self, prefix: str, after: int) -> wire.Changes:
+        path = f"/changes?prefix={quote(prefix)}&after={after}&blockMs={c.WATCH_BLOCK_MS}"
+        reply = await self._call("GET", path, timeout=c.WATCH_BLOCK_MS / 1000 + 2.0, max_wait=2.0)
+        if reply.status == 410:
+            raise TooOld
+        if reply.status != 200:
+            raise Refused(f"state service: {reply.status} for a watch")
+        return _decode(_changes, reply.body)
--- /dev/null
+++ b/winglift/store/election.py
@@ -0,0 +1,142 @@
+"""Election of the leader by a lease of the state service. The term is the workers' token."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from .. import constants as c
+from ..model.leadership import Leadership, Role, RoleEvent
+from ..wire import state as wire
+from .client import LeaseGone, Refused, StateClient, Unknown
+from .records import LEADER, TERM, LeaderRecord, TermRecord
+
+log = logging.getLogger(__name__)
+
+_leader = msgspec.json.Decoder(LeaderRecord)
+_term = msgspec.json.Decoder(TermRecord)
+
+
+class Election:
+    def __init__(self, state: StateClient, node: str, on_change: Callable[[], None]) -> None:
+        self.state = state
+        self.node = node
+        self.me = Leadership()
+        self.known_term = 0  # highest term seen in the state service
+        self.known_leader = ""
+        self._on_change = on_change
+        self._pause_until = 0.0
+        self._rng = random.Random()
+
+    async def run(self) -> None:
+        while True:
+            try:
+                if self.me.role in (Role.LEADER, Role.DOUBTFUL):
+                    await self._renew()
+                else:
+                    await self._follow()
+            except (Refused, Unknown) as err:
+                log.debug("election: %s", err)
+                if self.me.role is Role.CAMPAIGNING:
+                    self.me.move(RoleEvent.LOST)
+                await asyncio.sleep(c.CAMPAIGN_POLL_S)
+
+    # -- leading -------------------------------------------------------------------------------
+
+    async def _renew(self) -> None:
+        sent = time.monotonic()
+        try:
+            await self.state.touch(self.me.lease, timeout=1.0)
+        except LeaseGone:
+            self.lose("the lease has ended")
+            return
+        except (Refused, Unknown) as err:
+            log.debug("renewal: %s", err)
+            self.check()
+            await asyncio.sleep(0.25)
+            return
+        if self.me.role in (Role.LEADER, Role.DOUBTFUL):
+            self.me.extend(sent, c.LEADER_LEASE_S)
+            if self.me.role is Role.DOUBTFUL:
+                log.info("leads term %d again: the lease held", self.me.term)
+            self.me.move(RoleEvent.RENEWED)
+        await asyncio.sleep(max(0.05, c.LEADER_RENEW_S - (time.monotonic() - sent)))
+
+    def check(self) -> None:
+        if self.me.role is Role.LEADER and time.monotonic() >= self.me.valid_until:
+            self.me.move(RoleEvent.OVERDUE)
+            log.info("term %d in doubt: the lease was not renewed in time", self.me.term)
+
+    def lose(self, why: str) -> None:
+        if self.me.role is Role.FOLLOWER:
+            return
+        log.info("no longer leads term %d: %s", self.me.term, why)
+        self.me.move(RoleEvent.LOST)
+        self.state.set_leading(False)
+        self._on_change()
+
+    async def resign(self, why: str) -> None:
+        """Hand over: end the lease at once and let the others try first."""
+        lease = self.me.lease
+        self._pause_until = time.monotonic() + c.RESIGN_PAUSE_S
+        self.lose(why)
+        try:
+            await self.state.release(lease)
+        except (Refused, Unknown):
+            log.debug("the lease could not be ended; it runs out")
+
+    # -- following -----------------------------------------------------------------------------
+
+    async def _follow(self) -> None:
+        item = await self.state.get(LEADER)
+        if item is not None:
+            record = _leader.decode(item.value)
+            self.known_term = max(self.known_term, record.term)
+            self.known_leader = record.node
+        elif time.monotonic() >= self._pause_until:
+            self.known_leader = ""
+            await self._campaign()
+            return
+        await asyncio.sleep(c.CAMPAIGN_POLL_S + self._rng.random() * c.CAMPAIGN_JITTER_S)
+
+    async def _campaign(self) -> None:
+        self.me.move(RoleEvent.CAMPAIGN)
+        sent = time.monotonic()
+        lease = await self.state.grant(c.LEADER_LEASE_S)
+        item = await self.state.get(TERM)
+        last = _term.decode(item.value).term if item else 0
+        version = item.version if item else 0
+        term = last + 1
+        # Both keys are compared: one leader at a time, and a term that only ever rises (invariant 1).
+        txn = wire.Transaction(
+            [wire.Condition(LEADER, 0), wire.Condition(TERM, version)],
+            [wire.Put(LEADER, LeaderRecord(term, self.node), lease), wire.Put(TERM, TermRecord(term))],
+        )
+        revision = 0
+        try:
+            result = await self.state.commit(txn)
+            if isinstance(result, wire.Committed):
+                revision = result.revision
+        except LeaseGone:
+            pass
+        except Unknown:
+            found = await self.state.get(LEADER)
+            if found is not None and _leader.decode(found.value) == LeaderRecord(term, self.node):
+                revision = found.version
+        if not revision:
+            self.me.move(RoleEvent.LOST)
+            await asyncio.sleep(self._rng.random() * c.CAMPAIGN_JITTER_S)
+            return
+        self.me.term, self.me.lease, self.me.revision = term, lease, revision
+        self.me.valid_until = 0.0
+        self.me.extend(sent, c.LEADER_LEASE_S)
+        self.me.move(RoleEvent.WON)
+        self.known_term, self.known_leader = term, self.node
+        self.state.set_leading(True)
+        log.info("leads term %d", term)
+        self._on_change()
--- /dev/null
+++ b/winglift/store/records.py
@@ -0,0 +1,141 @@
+"""Job records: how a job is packed into one value of the state service."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from collections import defaultdict
+from dataclasses import dataclass
+
+import msgspec
+
+from ..model.job import DoneSet, JobState
+from ..model.task import Task, TaskState
+from ..wire.users import Submission
+
+JOB = "job/"
+LEADER = "leader"
+TERM = "term"
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    term: int
+    node: str
+
+
+class TermRecord(msgspec.Struct, frozen=True):
+    term: int
+
+
+class JobRecord(msgspec.Struct, omit_defaults=True, rename={
+    "spec": "s", "submitted": "t", "state": "o", "next_attempt": "a", "low": "l", "bits": "b", "places": "p",
+}):
+    """`places` groups tasks by machine and attempt: [machine, attempt, "0-3,7"]."""
+
+    submitted: float
+    spec: Submission
+    state: str = "o"
+    next_attempt: int = 1
+    low: int = 0
+    bits: str = ""
+    places: list[tuple[str, int, str]] = []
+
+
+_decoder = msgspec.json.Decoder(JobRecord)
+
+
+class BadRecord(ValueError):
+    """A record that this program did not write."""
+
+
+def pack_ranges(numbers: list[int]) -> str:
+    parts: list[str] = []
+    start = last = None
+    for number in sorted(numbers):
+        if last is not None and number == last + 1:
+            last = number
+            continue
+        if start is not None:
+            parts.append(str(start) if start == last else f"{start}-{last}")
+        start = last = number
+    if start is not None:
+        parts.append(str(start) if start == last else f"{start}-{last}")
+    return ",".join(parts)
+
+
+def unpack_ranges(text: str) -> list[int]:
+    found: list[int] = []
+    for part in text.split(","):
+        first, _, last = part.partition("-")
+        found += range(int(first), int(last or first) + 1)
+    return found
+
+
+def pack_done(done: DoneSet) -> tuple[int, str]:
+    if not done.above:
+        return done.low, ""
+    bits = bytearray((max(done.above) - done.low) // 8 + 1)
+    for number in done.above:
+        offset = number - done.low
+        bits[offset // 8] |= 1 << (offset % 8)
+    return done.low, b64encode(bytes(bits)).decode()
+
+
+def unpack_done(count: int, low: int, text: str) -> DoneSet:
+    above = set()
+    for place, byte in enumerate(b64decode(text)):
+        for bit in range(8):
+            if byte >> bit & 1:
+                above.add(low + place * 8 + bit)
+    return DoneSet(count, low, above)
+
+
+@dataclass(slots=True)
+class Loaded:
+    """A record, unpacked."""
+
+    spec: Submission
+    submitted: float
+    state: JobState
+    next_attempt: int
+    done: DoneSet
+    places: dict[int, tuple[str, int]]  # task number: machine, attempt
+
+
+def fresh(spec: Submission, submitted: float) -> JobRecord:
+    return JobRecord(submitted=submitted, spec=spec)
+
+
+def pack_places(tasks: dict[int, Task]) -> list[tuple[str, int, str]]:
+    groups: dict[tuple[str, int], list[int]] = defaultdict(list)
+    for number, task in tasks.items():
+        if task.state not in (TaskState.GONE, TaskState.EXITED):
+            groups[task.machine.name, task.attempt].append(number)
+    return [(name, attempt, pack_ranges(numbers)) for (name, attempt), numbers in groups.items()]
+
+
+def decode(value: bytes | msgspec.Raw) -> JobRecord:
+    try:
+        return _decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise BadRecord(str(err)) from None
+
+
+def unpack(record: JobRecord) -> Loaded:
+    try:
+        places = {n: (name, attempt) for name, attempt, text in record.places for n in unpack_ranges(text)}
+        done = unpack_done(record.spec.tasks, record.low, record.bits)
+        return Loaded(record.spec, record.submitted, JobState(record.state), record.next_attempt, done, places)
+    except ValueError as err:
+        raise BadRecord(str(err)) from None
+
+
+def done_count(record: JobRecord) -> int:
+    return record.low + sum(byte.bit_count() for byte in b64decode(record.bits))
+
+
+def held_count(record: JobRecord) -> int:
+    return sum(len(unpack_ranges(text)) for _, _, text in record.places)
+
+
+def encode(record: JobRecord) -> bytes:
+    return msgspec.json.encode(record)
--- /dev/null
+++ b/winglift/wire/back.py
@@ -0,0 +1,107 @@
+"""Frames of the link between controllers: packed by hand with struct.
+
+A frame is a header (magic, type, request number, body length) and a body. Numbers are big-endian.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import IntEnum
+
+MAGIC = 0x574C  # "WL"
+HEADER = struct.Struct(">HBII")
+MAX_FRAME = 128 * 1024  # bytes; a report or a record is at most 64 KiB
+_STATE = struct.Struct(">QBB")
+_STATUS = struct.Struct(">H")
+_JOB = struct.Struct(">QH")
+
+
+class FrameType(IntEnum):
+    STATE = 1  # what a node knows: term, whether it leads, whether the state service answers it
+    RELAY = 2  # a worker's report, handed to the leader
+    RELAYED = 3  # the leader's answer to it
+    JOB = 4  # a job record that this node has just committed
+
+
+class BadFrame(ValueError):
+    """A frame that no sound peer would send."""
+
+
+@dataclass(frozen=True, slots=True)
+class Header:
+    type: FrameType
+    request: int
+    length: int
+
+
+@dataclass(frozen=True, slots=True)
+class PeerState:
+    term: int
+    leads: bool
+    state_ok: bool
+    node: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobNote:
+    version: int
+    ref: str
+    record: bytes
+
+
+def frame(kind: FrameType, request: int, body: bytes) -> bytes:
+    if len(body) > MAX_FRAME:
+        raise BadFrame("body too long")
+    return HEADER.pack(MAGIC, kind, request, len(body)) + body
+
+
+def parse_header(data: bytes) -> Header:
+    if len(data) != HEADER.size:
+        raise BadFrame("short header")
+    magic, kind, request, length = HEADER.unpack(data)
+    if magic != MAGIC or length > MAX_FRAME:
+        raise BadFrame("not a winglift frame")
+    try:
+        return Header(FrameType(kind), request, length)
+    except ValueError:
+        raise BadFrame(f"unknown frame type {kind}") from None
+
+
+def pack_state(state: PeerState) -> bytes:
+    return _STATE.pack(state.term, state.leads, state.state_ok) + state.node.encode()
+
+
+def parse_state(body: bytes) -> PeerState:
+    try:
+        term, leads, state_ok = _STATE.unpack_from(body)
+        return PeerState(term, bool(leads), bool(state_ok), body[_STATE.size:].decode())
+    except (struct.error, UnicodeDecodeError):
+        raise BadFrame("bad state frame") from None
+
+
+def pack_answer(status: int, body: bytes) -> bytes:
+    return _STATUS.pack(status) + body
+
+
+def parse_answer(body: bytes) -> tuple[int, bytes]:
+    try:
+        return _STATUS.unpack_from(body)[0], body[_STATUS.size:]
+    except struct.error:
+        raise BadFrame("bad answer frame") from None
+
+
+def pack_job(note: JobNote) -> bytes:
+    ref = note.ref.encode()
+    return _JOB.pack(note.version, len(ref)) + ref + note.record
+
+
+def parse_job(body: bytes) -> JobNote:
+    try:
+        version, size = _JOB.unpack_from(body)
+        ref = body[_JOB.size:_JOB.size + size]
+        if len(ref) != size:
+            raise BadFrame("bad job frame")
+        return JobNote(version, ref.decode(), body[_JOB.size + size:])
+    except (struct.error, UnicodeDecodeError):
+        raise BadFrame("bad job frame") from None
--- /dev/null
+++ b/winglift/wire/state.py
@@ -0,0 +1,71 @@
+"""Messages between controllers and the state service."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+
+class Item(msgspec.Struct, frozen=True, rename={"key": "k", "value": "v", "version": "keyRev", "lease": "permit"}):
+    key: str
+    value: msgspec.Raw
+    version: int
+    lease: int | None = None
+
+
+class Page(msgspec.Struct, frozen=True, rename={"more": "truncated", "revision": "ledgerRev"}):
+    items: list[Item]
+    revision: int
+    more: bool = False
+
+
+class Condition(msgspec.Struct, frozen=True, rename={"key": "k", "version": "keyRev"}):
+    key: str
+    version: int
+
+
+class Put(msgspec.Struct, frozen=True, omit_defaults=True, rename={"key": "write", "value": "v", "lease": "permit"}):
+    key: str
+    value: Any
+    lease: int | None = None
+
+
+class Drop(msgspec.Struct, frozen=True, rename={"key": "drop"}):
+    key: str
+
+
+class Transaction(msgspec.Struct, frozen=True, rename={"conditions": "if", "changes": "then"}):
+    conditions: list[Condition]
+    changes: list[Any]  # Put and Drop
+
+
+class Committed(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev"}):
+    revision: int
+
+
+class Conflict(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev"}):
+    failed: list[str]
+    revision: int = 0
+
+
+class Grant(msgspec.Struct, frozen=True, rename={"lease": "permit"}):
+    lease: int
+
+
+class GrantRequest(msgspec.Struct, frozen=True, rename={"ttl_ms": "lifeMs"}):
+    ttl_ms: int
+
+
+class Event(msgspec.Struct, frozen=True, kw_only=True, rename={
+    "put": "write", "delete": "drop", "value": "v", "version": "keyRev",
+}):
+    put: str | None = None
+    delete: str | None = None
+    value: msgspec.Raw | None = None
+    version: int
+
+
+class Changes(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev", "events": "news"}):
+    revision: int
+    events: list[Event]
--- /dev/null
+++ b/winglift/wire/users.py
@@ -0,0 +1,129 @@
+"""Messages between users and controllers. Wire names live here, the field's terms everywhere else."""
+
+from __future__ import annotations
+
+import math
+import re
+from enum import StrEnum
+from typing import Any
+
+import msgspec
+
+from .. import constants as c
+
+REF = re.compile(r"wk-[0-9]{1,20}\Z")
+
+
+class Kind(StrEnum):
+    ARRAY = "array"
+    GANG = "ensemble"
+    SERVICE = "daemon"
+
+
+class Priority(StrEnum):
+    PRODUCTION = "production"
+    HIGH = "urgent"
+    NORMAL = "normal"
+    LOW = "idle"
+
+    @property
+    def rank(self) -> int:
+        return _RANK[self]
+
+
+_RANK = {Priority.PRODUCTION: 3, Priority.HIGH: 2, Priority.NORMAL: 1, Priority.LOW: 0}
+
+
+class JobStatus(StrEnum):
+    QUEUED = "queued"
+    RUNNING = "running"
+    DONE = "done"
+    CANCELLED = "aborted"
+
+
+class Invalid(ValueError):
+    """A request that is malformed; its text names the field."""
+
+
+class Submission(msgspec.Struct, frozen=True, kw_only=True, rename={
+    "job_class": "jobClass", "team": "owner", "kind": "shape", "priority": "urgency", "tasks": "pieces",
+    "memory_gb": "memGb", "image": "bundle", "image_gb": "pullGb", "types": "rigTypes", "zone": "hall",
+    "one_zone": "samePlace", "spread": "apart", "spot": "loaner", "estimate_s": "expectedS",
+    "checkpoint_s": "snapshotEveryS", "save_s": "snapshotS", "due_s": "dueS",
+}):
+    ref: str
+    job_class: str
+    team: str
+    kind: Kind
+    priority: Priority
+    tasks: int
+    cpus: float
+    gpus: float
+    memory_gb: float
+    image: str
+    image_gb: float
+    types: list[str] | None = None
+    zone: str | None = None
+    one_zone: bool
+    spread: bool
+    spot: bool
+    estimate_s: float
+    checkpoint_s: float
+    save_s: float
+    due_s: float | None = None
+
+
+class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    ref: str
+    status: JobStatus
+    done: int | None = None
+    running: int | None = None
+
+
+_decoder = msgspec.json.Decoder(Submission)
+_AMOUNTS = ("cpus", "gpus", "memory_gb", "image_gb", "estimate_s", "checkpoint_s", "save_s")
+_NAMES = ("job_class", "team", "image")
+_WIRE = {f.name: f.encode_name for f in msgspec.structs.fields(Submission)}
+
+
+def is_ref(text: str) -> bool:
+    return REF.match(text) is not None
+
+
+def _name(field: str, value: str) -> None:
+    if not 0 < len(value) <= c.MAX_NAME:
+        raise Invalid(f"{_WIRE[field]}: expected 1 to {c.MAX_NAME} characters")
+
+
+def parse_submission(body: bytes) -> Submission:
+    """Decode and check a submission; raises Invalid naming the field at fault."""
+    if len(body) > c.MAX_BODY:
+        raise Invalid("body: more than 64 KiB")
+    try:
+        sub = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise Invalid(str(err)) from None
+    if not is_ref(sub.ref):
+        raise Invalid("ref: expected the form wk-000412")
+    for field in _NAMES:
+        _name(field, getattr(sub, field))
+    for field in _AMOUNTS:
+        value = getattr(sub, field)
+        if not math.isfinite(value) or not 0 <= value <= c.MAX_AMOUNT:
+            raise Invalid(f"{_WIRE[field]}: expected a finite number of at least 0")
+    if sub.due_s is not None and not (math.isfinite(sub.due_s) and 0 <= sub.due_s <= c.MAX_AMOUNT):
+        raise Invalid("dueS: expected a finite number of at least 0, or null")
+    if not 1 <= sub.tasks <= c.MAX_PIECES:
+        raise Invalid(f"pieces: expected 1 to {c.MAX_PIECES}")
+    if sub.types is not None:
+        if not 1 <= len(sub.types) <= c.MAX_TYPES:
+            raise Invalid(f"rigTypes: expected null or 1 to {c.MAX_TYPES} names")
+        for name in sub.types:
+            _name("types", name)
+    if sub.zone is not None:
+        _name("zone", sub.zone)
+    return sub
+
+
+def encode(value: Any) -> bytes:
+    return msgspec.json.encode(value)
--- /dev/null
+++ b/winglift/wire/workers.py
@@ -0,0 +1,118 @@
+"""Messages between workers and controllers."""
+
+from __future__ import annotations
+
+import re
+from enum import StrEnum
+
+import msgspec
+
+from .users import Invalid, is_ref
+
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
+_ADDR = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z")
+
+
+class Phase(StrEnum):
+    FETCHING = "fetching"
+    WAITING = "waiting"
+    RUNNING = "running"
+    SAVING = "flushing"
+    EXITED = "ended"
+
+
+class Why(StrEnum):
+    DONE = "done"
+    STOPPED = "halted"
+    PEERS = "peers"
+    ALONE = "alone"
+    ERROR = "error"
+    NO_ROOM = "no_room"
+    BUSY = "in_use"
+    UNKNOWN = "no_such"
+
+
+class TaskReport(msgspec.Struct, frozen=True, rename={
+    "task": "piece", "attempt": "tryNo", "phase": "status", "why": "exitCause",
+}):
+    task: str
+    attempt: int
+    phase: Phase
+    why: str | None = None
+    saved: bool = False
+
+    def key(self) -> tuple[str, int] | None:
+        """(job, task number), or None when the name has another form."""
+        ref, _, number = self.task.partition("/")
+        if is_ref(ref) and number.isascii() and number.isdigit() and len(number) <= 6:
+            return ref, int(number)
+        return None
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True, rename={
+    "machine": "rig", "addr": "endpoint", "type": "rigType", "zone": "hall", "spot": "loaner",
+    "session": "shift", "seq": "tick", "token": "baton", "notice_s": "recallS", "tasks": "pieces",
+}):
+    machine: str
+    addr: str
+    type: str
+    zone: str
+    spot: bool
+    session: int
+    seq: int
+    token: int
+    notice_s: float | None = None
+    tasks: list[TaskReport]
+
+
+class Command(msgspec.Struct, frozen=True, omit_defaults=True, rename={
+    "op": "verb", "task": "piece", "attempt": "tryNo", "grace_s": "windDownS",
+}):
+    op: str
+    task: str
+    attempt: int
+    grace_s: float | None = None
+
+
+class Commands(msgspec.Struct, frozen=True, rename={"token": "baton", "commands": "orders"}):
+    token: int
+    commands: list[Command]
+
+
+class DirectCommands(msgspec.Struct, frozen=True, rename={"token": "baton", "session": "shift", "commands": "orders"}):
+    token: int
+    session: int
+    commands: list[Command]
+
+
+class Redirect(msgspec.Struct, frozen=True, omit_defaults=True, rename={"report_to": "reportsTo"}):
+    report_to: str | None = None
+
+
+_decoder = msgspec.json.Decoder(Report)
+
+
+def parse_report(body: bytes) -> Report:
+    try:
+        report = _decoder.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
+        raise Invalid(str(err)) from None
+    if not _NAME.match(report.machine):
+        raise Invalid("rig: expected a machine name")
+    if not _ADDR.match(report.addr):
+        raise Invalid("endpoint: expected ip:port")
+    if report.session < 1 or report.seq < 0 or not 0 <= report.token < 2**64:
+        raise Invalid("shift, tick, baton: out of range")
+    return report
+
+
+def run(task: str, attempt: int) -> Command:
+    return Command("run", task, attempt)
+
+
+def halt(task: str, attempt: int, grace_s: float) -> Command:
+    return Command("halt", task, attempt, grace_s)
+
+
+def reap(task: str, attempt: int) -> Command:
+    return Command("reap", task, attempt)
--- /dev/null
+++ b/winglift/workers/__init__.py
@@ -0,0 +1,1 @@
+"""Dealings with workers: reports and commands."""
--- /dev/null
+++ b/winglift/workers/commands.py
@@ -0,0 +1,62 @@
+"""Direct commands to workers: stops only. Starts never go this way, since commands may be executed late."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from .. import constants as c
+from ..model.leadership import Leadership
+from ..model.machine import Machine
+from ..model.picture import Picture
+from ..model.task import PRESENT, Task, TaskState
+from ..net.client import Client, Unanswered
+from ..wire import workers as w
+from ..wire.users import Invalid
+
+log = logging.getLogger(__name__)
+
+
+class Stopper:
+    """Tells workers to stop tasks at once; what gets lost is repeated by the next report's response."""
+
+    def __init__(self, picture: Picture, me: Leadership) -> None:
+        self.picture = picture
+        self.me = me
+        self._queue: dict[str, list[Task]] = {}
+        self._tasks: set[asyncio.Task] = set()
+        picture.on_stop = self.add
+
+    def add(self, task: Task) -> None:
+        queue = self._queue.setdefault(task.machine.name, [])
+        queue.append(task)
+        if len(queue) == 1:
+            job = asyncio.ensure_future(self._send(task.machine))
+            self._tasks.add(job)
+            job.add_done_callback(self._tasks.discard)
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    async def _send(self, machine: Machine) -> None:
+        await asyncio.sleep(0)  # gather what is stopped in the same cycle
+        tasks = self._queue.pop(machine.name, [])
+        if not self.me.entitled(time.monotonic()) or not machine.addr or not machine.session:
+            return
+        states = PRESENT | {TaskState.SENT, TaskState.UNKNOWN}
+        commands = [w.halt(t.name, t.attempt, t.stop_grace or 0) for t in tasks if t.state in states]
+        if not commands:
+            return
+        host, _, port = machine.addr.partition(":")
+        client = Client(host, int(port), most=0)
+        body = msgspec.json.encode(w.DirectCommands(self.picture.term, machine.session, commands))
+        try:
+            reply = await client.request("POST", "/commands", body, c.COMMAND_TIMEOUT_S)
+            if reply.status in (200, 409):
+                self.picture.on_report(w.parse_report(reply.body), time.monotonic(), direct=True)
+        except (Unanswered, Invalid) as err:
+            log.debug("direct stop on %s: %s", machine.name, err)
