--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -64,11 +64,16 @@
     await asyncio.Event().wait()
 
 
-parser = argparse.ArgumentParser(prog="standins")
-parser.add_argument("folder", type=pathlib.Path)
-parser.add_argument("--port", type=int, default=18080)
-args = parser.parse_args()
-try:
-    asyncio.run(serve(args.folder, args.port))
-except KeyboardInterrupt:
-    pass
+def main() -> None:
+    parser = argparse.ArgumentParser(prog="standins")
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("--port", type=int, default=18080)
+    args = parser.parse_args()
+    try:
+        asyncio.run(serve(args.folder, args.port))
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -106,5 +106,5 @@
 
 def application(cloud: Cloud) -> web.Application:
     args = {"cloud": cloud}
-    return web.Application([(r"/flavors", _Flavors, args), (r"/hosts", _Hosts, args), (r"/hosts/delete", _Delete, args)],
-                           log_function=lambda handler: None)
+    routes = [(r"/flavors", _Flavors, args), (r"/hosts", _Hosts, args), (r"/hosts/delete", _Delete, args)]
+    return web.Application(routes, log_function=lambda handler: None)
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,260 @@
+"""A node over HTTP against the stand-ins: users, workers, leadership. No bench, loopback only."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import pytest
+from helpers import WIRE
+from tornado.httpclient import AsyncHTTPClient
+from tornado.httpserver import HTTPServer
+from tornado.netutil import bind_sockets
+from tornado.testing import bind_unused_port
+
+from standins import cloud as cloud_standin
+from standins import state as state_standin
+from standins.__main__ import TEMPLATE
+from winglift.config import settings as conf
+from winglift.node import Node
+
+PATIENCE_S = 20.0  # far above what is needed: a slow machine must not change the verdict
+
+
+def free_port() -> int:
+    sock, port = bind_unused_port()
+    sock.close()
+    return port
+
+
+class World:
+    """State service, cloud with its workers, and nodes, all in this process."""
+
+    def __init__(self, nodes: int, run_s: float) -> None:
+        self.state = state_standin.StateService()
+        self.addresses = [(f"node-{i}", free_port(), free_port()) for i in range(nodes)]
+        controllers = [(n, f"127.0.0.1:{p}") for n, p, _ in self.addresses]
+        # Tasks of wk-3 stand for a service: they run until they are stopped.
+        self.cloud = cloud_standin.Cloud(controllers, lambda task: 60.0 if task.startswith("wk-3/") else run_s)
+        self.nodes: dict[str, tuple[Node, asyncio.Task]] = {}
+        self.client = AsyncHTTPClient()
+        self.servers: list[HTTPServer] = []
+        self.ports = {"state": self._serve(state_standin.application(self.state)),
+                      "cloud": self._serve(cloud_standin.application(self.cloud))}
+
+    def _serve(self, application: Any) -> int:
+        sockets = bind_sockets(0, "127.0.0.1")
+        server = HTTPServer(application)
+        server.add_sockets(sockets)
+        self.servers.append(server)
+        return sockets[0].getsockname()[1]
+
+    def start(self, index: int) -> Node:
+        name, port, back = self.addresses[index]
+        text = TEMPLATE.format(port=port, back=back, **self.ports).replace("node-0", name)
+        text = text.replace("nodes = 1", f"nodes = {len(self.addresses)}")
+        text += "".join(f'[[seeds]]\nnode = "{n}"\nzone = "a"\naddr = "127.0.0.1:{b}"\n'
+                        for n, _, b in self.addresses if n != name)
+        node = Node(conf.parse(text))
+        self.nodes[name] = (node, asyncio.ensure_future(node.run()))
+        return node
+
+    def kill(self, name: str) -> None:
+        node, task = self.nodes.pop(name)
+        task.cancel()
+        node.stop()
+
+    async def ask(self, method: str, path: str, body: Any = None, node: int = 0) -> tuple[int, Any, Any]:
+        data = body if isinstance(body, bytes | None) else json.dumps(body).encode()
+        reply = await self.client.fetch(f"http://127.0.0.1:{self.addresses[node][1]}{path}", method=method, body=data,
+                                        allow_nonstandard_methods=True, raise_error=False, request_timeout=5)
+        return reply.code, json.loads(reply.body) if reply.body else None, reply.headers
+
+    async def until(self, what: Callable[[], Awaitable[bool]]) -> None:
+        end = time.monotonic() + PATIENCE_S
+        while not await what():
+            assert time.monotonic() < end, "it did not happen in time"
+            await asyncio.sleep(0.05)
+
+    async def up(self, node: int = 0) -> None:
+        async def healthy() -> bool:
+            try:
+                return (await self.ask("GET", "/up", node=node))[0] == 200
+            except OSError:
+                return False
+        await self.until(healthy)
+
+    async def becomes(self, ref: str, status: str, node: int = 0) -> None:
+        async def there() -> bool:
+            code, body, _ = await self.ask("GET", f"/work/{ref}", node=node)
+            return code == 200 and body["status"] == status
+        await self.until(there)
+
+
+@contextlib.asynccontextmanager
+async def world(nodes: int = 1, run_s: float = 0.3) -> AsyncIterator[World]:
+    made = World(nodes, run_s)
+    try:
+        for index in range(nodes):
+            made.start(index)
+        for index in range(nodes):
+            await made.up(index)
+        yield made
+    finally:
+        for name in list(made.nodes):
+            made.kill(name)
+        made.cloud.delete(list(made.cloud.machines))
+        for server in made.servers:
+            server.stop()
+
+
+def job(ref: str, **changes: Any) -> dict[str, Any]:
+    return WIRE | {"ref": ref, "owner": "team", "cpus": 4.0, "memGb": 8.0, "pullGb": 0.1, "expectedS": 0.3,
+                   "snapshotEveryS": 0.0, "dueS": None} | changes
+
+
+def test_jobs_of_every_kind_run_and_end():
+    async def scenario() -> None:
+        async with world() as w:
+            for ref, changes in (("wk-1", {}), ("wk-2", {"shape": "ensemble", "samePlace": True}),
+                                 ("wk-3", {"shape": "daemon", "urgency": "production", "loaner": False})):
+                code, body, _ = await w.ask("POST", "/work", job(ref, **changes))
+                assert (code, body) == (201, {"ref": ref, "status": "queued"})
+            assert (await w.ask("POST", "/work", job("wk-1")))[0] == 200
+            await w.becomes("wk-1", "done")
+            await w.becomes("wk-2", "done")
+            await w.becomes("wk-3", "running")
+            assert (await w.ask("POST", "/work/wk-3/abort"))[1] == {"ref": "wk-3", "status": "aborted", "done": 0,
+                                                                   "running": 0}
+            assert (await w.ask("POST", "/work/wk-1/abort"))[1]["status"] == "done"
+            assert (await w.ask("GET", "/work/wk-3"))[1]["status"] == "aborted"
+
+            async def empty() -> bool:
+                return not any(t["status"] == "running" for o in w.cloud.workers() for t in o.tasks.values())
+            await w.until(empty)
+            assert (await w.ask("POST", "/work", job("wk-1")))[1]["status"] == "done"
+    asyncio.run(scenario())
+
+
+def test_what_can_not_be_taken_is_refused_at_once():
+    async def scenario() -> None:
+        async with world() as w:
+            for body in (b"", b"[]", b"{", b"nope", json.dumps(job("wk-1") | {"pieces": 0}).encode()):
+                assert (await w.ask("POST", "/work", body))[0] == 400
+            assert (await w.ask("POST", "/work", b"x" * 70_000))[0] in (400, 413)
+            assert "gpus" in (await w.ask("POST", "/work", job("wk-1", gpus=-1.0)))[1]["error"]
+            for changes in ({"owner": "nobody"}, {"gpus": 5.0}, {"rigTypes": ["x"]}, {"hall": "z"},
+                            {"shape": "daemon", "pieces": 17}):
+                assert (await w.ask("POST", "/work", job("wk-1", **changes)))[0] == 422
+            assert (await w.ask("GET", "/work/wk-1"))[0] == 404
+            assert (await w.ask("POST", "/work/wk-1/abort"))[0] == 404
+            assert (await w.ask("GET", "/work/odd"))[0] == 400
+            assert (await w.ask("GET", "/nowhere"))[0] == 404
+            assert (await w.ask("GET", "/work"))[0] == 405
+            assert (await w.ask("GET", "/work/wk-1/abort"))[0] == 405
+            assert (await w.ask("POST", "/v1/report", b"{}"))[0] == 400
+            w.state.down = True
+            began = time.monotonic()
+            code, _, headers = await w.ask("POST", "/work", job("wk-2"))
+            assert code == 503 and int(headers["Retry-After"]) >= 1 and time.monotonic() - began < 2
+            w.state.down = False
+
+            async def accepted() -> bool:
+                return (await w.ask("POST", "/work", job("wk-2")))[0] in (200, 201)
+            await w.until(accepted)
+    asyncio.run(scenario())
+
+
+def test_a_repeat_of_an_accepted_job_never_gets_422():
+    """`forgotten`: the types may have changed since; a known job is looked up before 422 is said."""
+    async def scenario() -> None:
+        async with world() as w:
+            assert (await w.ask("POST", "/work", job("wk-1", shape="daemon")))[0] == 201
+            node = w.nodes["node-0"][0]
+            kept = dict(node.types)
+            node.types.clear()
+            assert (await w.ask("POST", "/work", job("wk-1", shape="daemon")))[0] == 200
+            assert (await w.ask("POST", "/work", job("wk-9")))[0] == 503
+            node.types.update(kept)
+            assert (await w.ask("POST", "/work", job("wk-1", shape="daemon", gpus=99.0)))[0] == 200
+    asyncio.run(scenario())
+
+
+def test_a_commit_without_an_answer_is_read_again_and_not_repeated():
+    """Once a transaction's answer was lost; the job must be taken once and told once."""
+    async def scenario() -> None:
+        async with world() as w:
+            w.state.lose_answers = 1
+            code, _, _ = await w.ask("POST", "/work", job("wk-1"))
+            assert code in (200, 201, 503)
+            w.state.lose_answers = 2
+            await w.becomes("wk-1", "done")
+            starts = [t for o in w.cloud.workers() for _, t in o.starts]
+            assert len(starts) == len(set(starts))
+    asyncio.run(scenario())
+
+
+def test_another_node_takes_over_and_nothing_runs_twice():
+    async def scenario() -> None:
+        async with world(nodes=3, run_s=2.0) as w:
+            assert (await w.ask("POST", "/work", job("wk-1", pieces=4), node=1))[0] == 201
+            await w.becomes("wk-1", "running", node=2)
+            leader = next(n for n, (node, _) in w.nodes.items() if node.controller is not None)
+            w.kill(leader)
+            other = next(i for i, (n, _, _) in enumerate(w.addresses) if n != leader)
+            await w.becomes("wk-1", "done", node=other)
+            starts = [t for o in w.cloud.workers() for _, t in o.starts]
+            assert sorted(starts) == [f"wk-1/{i}" for i in range(4)]
+            terms = [v["term"] for k, (v, _, _) in w.state.keys.items() if k == "term"]
+            assert terms == [2]
+    asyncio.run(scenario())
+
+
+def test_a_machine_that_falls_silent_is_deleted_before_its_tasks_start_elsewhere():
+    async def scenario() -> None:
+        async with world(run_s=60.0) as w:
+            assert (await w.ask("POST", "/work", job("wk-1", shape="daemon", pieces=1, loaner=False)))[0] == 201
+            await w.becomes("wk-1", "running")
+
+            async def runs() -> bool:
+                return any(o.starts for o in w.cloud.workers())
+            await w.until(runs)
+            hung = next(o for o in w.cloud.workers() if o.starts)
+            hung.mute = True
+
+            async def elsewhere() -> bool:
+                return any(o.starts for o in w.cloud.workers() if o is not hung)
+            await w.until(elsewhere)
+            assert hung.entry["ref"] not in w.cloud.machines
+    asyncio.run(scenario())
+
+
+def test_tasks_outlive_an_outage_of_the_state_service_longer_than_a_lease():
+    """Reports are answered without commands meanwhile, so that no lease runs out and no replica dies."""
+    async def scenario() -> None:
+        async with world(nodes=2, run_s=60.0) as w:
+            assert (await w.ask("POST", "/work", job("wk-1", shape="daemon", pieces=2, loaner=False)))[0] == 201
+
+            async def both() -> bool:
+                return sum(len(o.starts) for o in w.cloud.workers()) == 2
+            await w.until(both)
+            w.state.down = True
+            await asyncio.sleep(w.cloud.lease_s + 1.5)
+            w.state.down = False
+            await w.becomes("wk-1", "running")
+            assert sum(len(o.starts) for o in w.cloud.workers()) == 2
+            assert all(o.session == 1 for o in w.cloud.workers() if o.starts)
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"rig":"vm-1"}', b"\xff", b'{"rig":"a b","endpoint":"x"}'])
+def test_odd_reports_do_no_harm(body):
+    async def scenario() -> None:
+        async with world() as w:
+            assert (await w.ask("POST", "/v1/report", body))[0] == 400
+            assert (await w.ask("GET", "/up"))[0] == 200
+    asyncio.run(scenario())
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -47,6 +47,7 @@
         self._on_job = on_job
         self._on_state = on_state
         self._request = 0
+        self._keepers: list[asyncio.Task] = []
 
     # -- what the peers say --------------------------------------------------------------------
 
@@ -106,8 +107,12 @@
     # -- asking --------------------------------------------------------------------------------
 
     def start(self) -> None:  # type: ignore[override]
-        for peer in self.peers.values():
-            asyncio.ensure_future(self._keep(peer))
+        self._keepers = [asyncio.ensure_future(self._keep(peer)) for peer in self.peers.values()]
+
+    def shut(self) -> None:
+        for keeper in self._keepers:
+            keeper.cancel()
+        self.stop()
 
     async def _keep(self, peer: Peer) -> None:
         host, port = parse_addr(peer.seed.addr, "seeds")
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -107,7 +107,7 @@
                 continue
             now = time.monotonic()
             for event in changes.events:
-                if event.put is not None and event.value is not None:
+                if event.put is not None:
                     self._take_record(event.put, event.version, event.value, now)
             self._revision = max(self._revision, changes.revision)
             if changes.events:
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -55,6 +55,9 @@
                 return None
             job = Job(ref, loaded.spec, loaded.submitted, done=loaded.done, first_seen=now)
             self.jobs[ref] = job
+            spec = job.spec
+            log.debug("new %s: %s %s of %s, %d tasks of %g GPUs, priority %s, due in %s", ref, spec.job_class,
+                      spec.kind.value, spec.team, spec.tasks, spec.gpus, spec.priority.value, spec.due_s)
         else:
             for index in loaded.done.above:
                 job.done.add(index)
@@ -321,6 +324,7 @@
         task.move(_SEEN[piece.phase], now)
         if before is not task.state:
             self.changed = True
+            log.debug("%s attempt %d on %s is %s", task.name, task.attempt, machine.name, task.state.name)
             if task.state in (TaskState.RUNNING, TaskState.WAITING):
                 machine.remember_image(job.spec.image, job.spec.image_gb)
             if task.state is TaskState.RUNNING:
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -40,6 +40,7 @@
         self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
         self.reports = Reports(self)
         self._began = time.monotonic()
+        self._server: HTTPServer | None = None
 
     # -- what the parts ask --------------------------------------------------------------------
 
@@ -110,7 +111,7 @@
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
     async def run(self) -> None:
-        server = HTTPServer(application(self), max_body_size=c.MAX_BODY, idle_connection_timeout=75.0)
+        server = self._server = HTTPServer(application(self), max_body_size=c.MAX_BODY, idle_connection_timeout=75.0)
         host, port = parse_addr(self.settings.client_listen, "client_listen")
         server.listen(port, host)
         back_host, back_port = parse_addr(self.settings.back, "back")
@@ -121,3 +122,13 @@
         gc.collect()
         gc.freeze()
         await asyncio.gather(self._keep_types(), self.election.run())
+
+    def stop(self) -> None:
+        """End at once, as a kill would: for programs that embed a node, and for tests."""
+        if self.controller is not None:
+            self.controller.stop()
+            self.controller = None
+        if self._server is not None:
+            self._server.stop()
+            asyncio.ensure_future(self._server.close_all_connections())
+        self.link.shut()
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -268,12 +268,13 @@
 
     def must_start(self, need: Need) -> bool:
         """Is the slack used up? Remaining time minus boot, fetch and run time minus a cycle (the slack wait)."""
-        if need.spec.due_s is None:
+        if need.spec.due_s is None or need.within:
+            # Work within its team's guarantee need not wait for others, so it does not lend its slack.
             return True
         cheapest = min((t for t in self.snap.types.values() if need.spec.types is None or t.name in need.spec.types),
                        key=lambda t: t.price, default=None)
         boot = cheapest.boot_s + need.spec.image_gb / max(cheapest.fetch_gb_per_s, 1e-3) if cheapest else 0.0
-        return need.sub_deadline - self.snap.now - need.run_s - boot - c.CYCLE_S <= 0
+        return need.sub_deadline - self.snap.now - need.run_s * c.SLACK_PAD - boot - c.CYCLE_S <= 0
 
     # -- jobs ----------------------------------------------------------------------------------
 
--- a/winglift/policy/split.py
+++ b/winglift/policy/split.py
@@ -51,8 +51,8 @@
     return result
 
 
-def sub_deadline(submitted: float, due: float | None, run_s: float) -> float:
-    """Sub-deadline of a job's only step. Without a deadline it is due now: at its submission."""
-    if due is None:
+def sub_deadline(submitted: float, due_s: float | None, run_s: float) -> float:
+    """Sub-deadline of a job's only step, due `due_s` after its submission. Without a deadline it is due now."""
+    if due_s is None:
         return submitted
-    return split_deadline([{"": run_s}], {}, submitted, due)[""]
+    return split_deadline([{"": run_s}], {}, submitted, submitted + due_s)[""]
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -54,6 +54,8 @@
     try:
         return decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        # Said aloud: an answer that is never understood once stayed hidden among passing failures.
+        log.warning("odd answer of the state service: %s", err)
         raise Unknown(f"odd answer of the state service: {err}") from None
 
 
--- a/winglift/wire/state.py
+++ b/winglift/wire/state.py
@@ -62,7 +62,7 @@
 }):
     put: str | None = None
     delete: str | None = None
-    value: msgspec.Raw | None = None
+    value: msgspec.Raw = msgspec.Raw(b"")  # empty for a deletion; Raw allows no union with null
     version: int
 
 
