Two members of a gang on one machine: a loss of one takes back the other without an error

Cause: a report without a member breaks its gang, which drops unsent members on the same machine; the loop over that machine's tasks then moved them again (WrongEvent, ABSENT in GONE), the report got no answer and the gang stayed half.

--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -206,6 +206,40 @@
 TestHistories.settings = hsettings(max_examples=150, stateful_step_count=50, deadline=None, derandomize=True)
 
 
+def two_on_one_machine(tasks: int) -> tuple[Picture, FakeWorker, FakeWorker]:
+    """A gang with two members on vm-0 and, of three, one on vm-2; committed, not sent."""
+    picture = Picture(settings(), {"g4": TYPE}, 1)
+    first, second = FakeWorker("vm-0", "a", False), FakeWorker("vm-2", "a", False)
+    for worker in (first, second):
+        worker.token = 1
+        picture.on_report(worker.report(), 0.0)
+    record = records.fresh(spec("wk-1", kind=Kind.GANG, tasks=tasks, gpus=2.0), 0.0)
+    job = picture.apply_record("wk-1", 11, record, 0.0)
+    assert job is not None
+    places = [(0, picture.machines["vm-0"]), (1, picture.machines["vm-0"]), (2, picture.machines["vm-2"])][:tasks]
+    assert picture.propose(job, places, 0.0)
+    picture.committed(job, 12, pack(job), 0.0)
+    return picture, first, second
+
+
+def test_a_gang_found_broken_after_a_takeover_frees_both_members_of_one_machine():
+    """Large gangs share machines. The report that shows the loss once raised an error over the second member."""
+    before, first, second = two_on_one_machine(3)
+    picture = Picture(settings(), {"g4": TYPE}, 1)
+    picture.apply_record("wk-1", 12, pack(before.jobs["wk-1"]), 0.0)
+    second.tasks["wk-1/2", 1] = "running"
+    for worker in (first, second, first):
+        assert picture.on_report(worker.report(), 1.0) is not None
+    assert picture.jobs["wk-1"].gang_broken and not picture.machines["vm-0"].tasks
+    assert [t.index for t in picture.jobs["wk-1"].active.values()] == [2]
+
+
+def test_a_deleted_machine_with_two_unsent_members_of_a_gang_frees_both():
+    picture, _, _ = two_on_one_machine(2)
+    picture.machine_gone(picture.machines["vm-0"], 1.0)
+    assert not picture.jobs["wk-1"].active and picture.ledger.used["red"].gpus == 0
+
+
 def test_every_task_state_can_end_and_gone_is_final():
     for state in TaskState:
         if state is TaskState.GONE:
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -289,7 +289,8 @@
             # A response of /commands may have been made while our answer to a report was under way,
             # so only a report shows that a start did not take effect.
             for key, task in list(machine.tasks.items()):
-                if key not in listed and task.state is not TaskState.PROPOSED:
+                # A gang that breaks takes back its unsent members, on this machine too: those are gone already.
+                if key not in listed and task.state not in (TaskState.PROPOSED, TaskState.GONE):
                     self._absent(task, report, new_session, now)
         for piece in report.tasks:
             key = piece.key()
@@ -411,6 +412,8 @@
         self.deleted[machine.name] = now
         for task in list(machine.tasks.values()):
             job = task.job
+            if task.state is TaskState.GONE:
+                continue  # taken back when its gang broke over another member on this machine
             self.drop(task, TaskEvent.MACHINE_GONE, now)
             if job.kind is Kind.GANG:
                 self.break_gang(job, now, f"{machine.name} is gone")
