Starts and ends are written first, progress with what they leave; a busy planner pauses longer

The planner took its cycle time from users. A flush sends only what has tokens, urgent first; progress waits 2 s and for spare tokens; a refused condition holds up its own job only; followers may save up changes for a rush.

--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -8,7 +8,7 @@
 
 from winglift.model.leadership import Leadership, Role
 from winglift.model.machine import MachineState
-from winglift.model.picture import Picture
+from winglift.model.picture import PROGRESS, Picture
 from winglift.model.task import TaskState
 from winglift.store import records
 from winglift.store.batcher import Batcher
@@ -25,9 +25,14 @@
         self.sizes: list[int] = []
         self.keys: dict[str, tuple[int, bytes]] = {}
         self.revision = 100
+        self.tokens = 1000
+
+    def writes_free(self):
+        return self.tokens
 
     async def commit(self, txn, max_wait=0.0):
         self.sizes.append(len(txn.changes))
+        self.tokens -= len(txn.changes)
         outcome = self.outcomes.pop(0) if self.outcomes else None
         if isinstance(outcome, Exception) and not isinstance(outcome, Unknown):
             raise outcome
@@ -73,6 +78,20 @@
     asyncio.run(run())
 
 
+def test_starts_are_written_before_progress_and_progress_waits_for_spare_tokens():
+    """At one change per ended task, arrays once used up the changes a second, and services waited for their start."""
+    state, picture, batcher = prepared(6)
+    for job in list(picture.jobs.values())[:3]:
+        job.dirty = PROGRESS
+    state.tokens = 3
+    settle(batcher)
+    assert state.sizes == [3] and [j.dirty for j in picture.jobs.values()] == [PROGRESS] * 3 + [0] * 3
+    state.tokens = 1000
+    batcher._waits = dict.fromkeys(batcher._waits, -100.0)
+    settle(batcher)
+    assert state.sizes == [3, 3] and not any(j.dirty for j in picture.jobs.values())
+
+
 def states(picture):
     return {t.state for j in picture.jobs.values() for t in j.active.values()}
 
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -15,6 +15,11 @@
 # --- state service ----------------------------------------------------------------------------
 STATE_TIMEOUT_S = 1.5  # s; answers usually take 10 ms and at times a few hundred
 LEADER_SHARE = 0.6  # ratio of the request budget that the leader may use; the others share the rest
+LEADER_WRITE_SHARE = 0.7  # ratio of the changes a second that the leader may write
+FOLLOWER_WRITE_BURST = 0.35  # of the changes a second; what a follower may save up for a rush of submissions
+START_WRITES_KEPT = 0.3  # of the changes a second, kept free for starts and ends when progress is written
+PROGRESS_AFTER_S = 2.0  # s; progress of several tasks of a job then shares one change
+FLUSH_AGAIN_S = 0.05  # s until changes are tried again that found no token
 WATCH_BLOCK_MS = 10_000  # ms; length of one watch
 WATCH_PAUSE_S = 0.05  # s; between two watches, so that many changes arrive as one answer
 LIST_LIMIT = 1000  # records in one listing, the protocol's most
@@ -78,6 +83,7 @@
 FIRST_PAID_S = 60.0  # s; the least that a rented machine costs
 
 # --- policy -----------------------------------------------------------------------------------
+CYCLE_PAUSE = 4.0  # of a cycle's own time, the least pause after it: users and workers come before a busy planner
 CYCLE_S = 0.15  # s; the scheduling cycle: far below any start aim, cheap enough for half a core
 IDLE_CYCLE_S = 1.0  # s; at least this often, even when nothing has changed
 ESTIMATE_PAD = 1.25  # ratio; owners' estimates are often wrong by a third or more
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -71,6 +71,7 @@
         for task in self._tasks:
             task.cancel()
         self.inventory.stop()
+        self.batcher.stop()
         self.stopper.stop()
 
     async def _guard(self, job) -> None:  # type: ignore[no-untyped-def]
@@ -179,6 +180,7 @@
             except TimeoutError:
                 pass
             self._wake.clear()
+            pause = c.CYCLE_S
             self.election.check()
             if self.batcher.lost or self.picture.superseded:
                 self.election.lose("another node holds the leader key")
@@ -191,9 +193,10 @@
                     self._entitled_since = began
                 self._step(began)
                 took = time.monotonic() - began
+                pause = max(pause, took * c.CYCLE_PAUSE)
                 if took > 0.1:
                     log.debug("a cycle took %.0f ms", took * 1000)
-            await asyncio.sleep(c.CYCLE_S)
+            await asyncio.sleep(pause)
 
     def _step(self, now: float) -> None:
         picture = self.picture
--- a/winglift/net/budget.py
+++ b/winglift/net/budget.py
@@ -34,6 +34,11 @@
         self.tokens -= amount
         return True
 
+    def free(self, now: float) -> float:
+        """Tokens that are there."""
+        self._fill(now)
+        return max(0.0, self.tokens)
+
     def wait_s(self, now: float, amount: float = 1.0) -> float:
         """Seconds until that much is there."""
         self._fill(now)
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Iterable
 
 import msgspec
 
@@ -12,7 +13,7 @@
 from ..config.settings import State
 from ..model.job import Job
 from ..model.leadership import Leadership
-from ..model.picture import Picture
+from ..model.picture import START, Picture
 from ..model.task import TaskEvent, TaskState
 from ..wire import state as wire
 from . import records
@@ -40,37 +41,70 @@
         self.most_ops = limits.txn_ops
         self.lost = False  # the leader key has another revision
         self._running: set[asyncio.Task] = set()
+        self._waits: dict[str, float] = {}  # since when a change waits that is not urgent
+        self._timer: asyncio.TimerHandle | None = None
         self.most_bytes = int(limits.value_kb * 1024)
 
     def fits(self, job: Job) -> bool:
         return len(msgspec.json.encode(pack(job))) <= self.most_bytes - c.RECORD_SPARE_BYTES
 
     def flush(self) -> None:
-        """Start as many transactions as there are changes and free slots. Urgent changes go first."""
-        if len(self._running) >= c.COMMIT_PARALLEL or self.lost:
+        """Start as many transactions as there are changes, free slots and tokens. Urgent changes go first.
+
+        What can wait is written with tokens that starts and ends leave: at a change of progress per ended task,
+        arrays once used up all changes a second and starts queued behind them.
+        """
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if self.lost or len(self._running) >= c.COMMIT_PARALLEL:
             return
-        due = [j for j in self.picture.jobs.values() if j.dirty and not j.writing]
-        due.sort(key=lambda j: j.dirty)
-        while due and len(self._running) < c.COMMIT_PARALLEL:
-            batch: list[tuple[Job, records.JobRecord]] = []
-            size = 0
-            while due and len(batch) < self.most_ops:
-                job = due[0]
-                record = pack(job)
-                length = len(msgspec.json.encode(record))
-                if batch and size + length > MAX_TXN:
-                    break
-                due.pop(0)
-                size += length
-                batch.append((job, record))
-            levels = {}
-            for job, _ in batch:
-                levels[job.ref] = job.dirty
-                job.dirty = 0
-                job.writing = True
-            task = asyncio.ensure_future(self._write(batch, levels))
-            self._running.add(task)
-            task.add_done_callback(self._running.discard)
+        free = self.state.writes_free()
+        due, left = self._due(free, time.monotonic())
+        while due and free >= 1 and len(self._running) < c.COMMIT_PARALLEL:
+            free -= self._send(due, min(self.most_ops, free))
+        if due or left:
+            self._timer = asyncio.get_running_loop().call_later(c.FLUSH_AGAIN_S, self.flush)
+
+    def _due(self, free: int, now: float) -> tuple[list[Job], bool]:
+        """What is to be written now, most urgent first, and whether there is more that waits."""
+        dirty = [j for j in self.picture.jobs.values() if j.dirty and not j.writing]
+        due = [j for j in dirty if j.dirty <= START]
+        due.sort(key=lambda j: (j.dirty, -j.spec.priority.rank, j.submitted))
+        waiting = {j.ref: self._waits.get(j.ref, now) for j in dirty if j.dirty > START}
+        self._waits = waiting
+        spare = free - len(due) - int(self.limits.write_rps * c.START_WRITES_KEPT)
+        late = [j for j in dirty if j.dirty > START and now - waiting[j.ref] >= c.PROGRESS_AFTER_S]
+        late.sort(key=lambda j: waiting[j.ref])
+        return due + late[:max(0, spare)], bool(waiting)
+
+    def _send(self, due: list[Job], most: int) -> int:
+        """One transaction with the first of what is due; how many changes it holds."""
+        batch: list[tuple[Job, records.JobRecord]] = []
+        size = 0
+        while due and len(batch) < most:
+            job = due[0]
+            record = pack(job)
+            length = len(msgspec.json.encode(record))
+            if batch and size + length > MAX_TXN:
+                break
+            due.pop(0)
+            size += length
+            batch.append((job, record))
+        levels = {}
+        for job, _ in batch:
+            levels[job.ref] = job.dirty
+            job.dirty = 0
+            job.writing = True
+        task = asyncio.ensure_future(self._write(batch, levels))
+        self._running.add(task)
+        task.add_done_callback(self._finished)
+        return len(batch)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._running.discard(task)
+        if not task.cancelled():
+            self.flush()
 
     async def _write(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
         # Every leader write is conditional on the leadership key at its revision (invariant 1).
@@ -104,17 +138,24 @@
                 if records.LEADER in result.failed:
                     self.lost = True
                 else:
-                    for job, _ in batch:
-                        if records.JOB + job.ref in result.failed:
-                            await self._reread(job)
+                    # The others' changes are sound: they are not held up by the reading.
+                    stale = [j for j, _ in batch if records.JOB + j.ref in result.failed]
+                    self._release(j for j, _ in batch if j not in stale)
+                    for job in stale:
+                        await self._reread(job)
+                    batch = [(j, r) for j, r in batch if j in stale]
         finally:
-            for job, _ in batch:
-                job.writing = False
-                if job.pending is not None:
-                    version, value = job.pending
-                    job.pending = None
-                    self.picture.apply_record(job.ref, version, records.decode(value), time.monotonic())
-            self.picture.changed = True
+            self._release(j for j, _ in batch)
+
+    def _release(self, jobs: Iterable[Job]) -> None:
+        """These jobs' writes are over: what others changed meanwhile is taken in, and they may be written again."""
+        for job in jobs:
+            job.writing = False
+            if job.pending is not None:
+                version, value = job.pending
+                job.pending = None
+                self.picture.apply_record(job.ref, version, records.decode(value), time.monotonic())
+        self.picture.changed = True
 
     def _again(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
         for job, _ in batch:
@@ -133,6 +174,12 @@
             job.writing = False
             self.picture.apply_record(job.ref, item.version, records.decode(item.value), time.monotonic())
 
+    def stop(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        self.lost = True
+
     def reject(self, job: Job, now: float, keep: int) -> None:
         """Take back proposals that would not fit into the record."""
         proposed = [t for t in job.active.values() if t.state is TaskState.PROPOSED]
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -83,8 +83,15 @@
         share = (c.LEADER_SHARE if self._nodes > 1 else 1.0) if leads else self.follower_share()
         now = time.monotonic()
         self._reads.resize(max(2.0, self._limits.rps * share), max(2.0, self._limits.rps * share), now)
-        writes = max(1.0, self._limits.write_rps * share)
-        self._writes.resize(writes, writes, now)
+        if self._nodes > 1:
+            share = c.LEADER_WRITE_SHARE if leads else (1 - c.LEADER_WRITE_SHARE) / (self._nodes - 1)
+        # A follower writes seldom, but then for many users at once: it may save up more than its part of a second.
+        burst = share if leads or self._nodes == 1 else max(share, c.FOLLOWER_WRITE_BURST)
+        self._writes.resize(max(1.0, self._limits.write_rps * share), max(1.0, self._limits.write_rps * burst), now)
+
+    def writes_free(self) -> int:
+        """Changes that could be sent at once."""
+        return int(self._writes.free(time.monotonic()))
 
     # -- health --------------------------------------------------------------------------------
 
