Reports that a node can answer itself are answered without a task of their own

Now the leader answers in the turn that reads it, and a fault over one report handed over no longer ends the link.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -37,8 +37,12 @@
 def ask(handler, zone="a", token=3):
     body = {"rig": "vm-1", "endpoint": "10.0.0.1:1", "rigType": "g4", "hall": zone, "loaner": False, "shift": 1,
             "tick": 5, "baton": token, "recallS": None, "pieces": []}
-    status, answer = asyncio.run(handler.handle(json.dumps(body).encode()))
-    return status, json.loads(answer)
+    answer = handler.handle(json.dumps(body).encode())
+    if not isinstance(answer, tuple):
+        async def later():
+            return await answer
+        answer = asyncio.run(later())
+    return answer[0], json.loads(answer[1])
 
 
 def test_a_worker_is_served_before_it_is_sent_home():
--- a/winglift/api/front.py
+++ b/winglift/api/front.py
@@ -10,7 +10,8 @@
 
 REPORT = "/v1/report"
 
-Handle = Callable[[bytes], Awaitable[tuple[int, bytes]]]
+Answer = tuple[int, bytes]
+Handle = Callable[[bytes], Answer | Awaitable[Answer]]
 
 
 class Front(httputil.HTTPServerConnectionDelegate):
@@ -50,15 +51,22 @@
     def finish(self) -> None:
         if self.other is not None:
             self.other.finish()
+            return
+        answer = self.front.on_report(b"".join(self.chunks))
+        if isinstance(answer, tuple):
+            self._answer(answer)
         else:
-            asyncio.ensure_future(self._answer())
+            asyncio.ensure_future(self._answer_later(answer))
 
     def on_connection_close(self) -> None:
         if self.other is not None:
             self.other.on_connection_close()
 
-    async def _answer(self) -> None:
-        status, body = await self.front.on_report(b"".join(self.chunks))
+    async def _answer_later(self, answer: Awaitable[Answer]) -> None:
+        self._answer(await answer)
+
+    def _answer(self, answer: Answer) -> None:
+        status, body = answer
         conn = self.request_conn
         assert isinstance(conn, HTTP1Connection)
         if conn.stream.closed():
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -6,7 +6,7 @@
 import logging
 import socket
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tornado.iostream import IOStream, StreamClosedError
@@ -38,7 +38,7 @@
 
 class Link(TCPServer):
     def __init__(self, node: str, seeds: list[Seed], mine: Callable[[], back.PeerState],
-                 on_relay: Callable[[bytes], Awaitable[tuple[int, bytes]]],
+                 on_relay: Callable[[bytes], tuple[int, bytes]],
                  on_job: Callable[[back.JobNote], None], on_state: Callable[[back.PeerState], None],
                  on_gone: Callable[[str], None]) -> None:
         super().__init__()
@@ -95,7 +95,14 @@
                 elif header.type is back.FrameType.IMAGES:
                     self.images = back.parse_images(body)
                 elif header.type is back.FrameType.RELAY:
-                    asyncio.ensure_future(self._answer(stream, header.request, body))
+                    try:
+                        status, answer = self._on_relay(body)
+                    except Exception:
+                        # A fault over one machine's report must not end the link that all the others come by.
+                        log.exception("fault in a report handed over")
+                        status, answer = 503, b"{}"
+                    # Not waited for: the next report is read meanwhile, and a closed stream ends the loop.
+                    stream.write(back.frame(back.FrameType.RELAYED, header.request, back.pack_answer(status, answer)))
         except StreamClosedError:
             pass
         except back.BadFrame as err:
@@ -103,13 +110,6 @@
         finally:
             stream.close()
 
-    async def _answer(self, stream: IOStream, request: int, body: bytes) -> None:
-        status, answer = await self._on_relay(body)
-        try:
-            await stream.write(back.frame(back.FrameType.RELAYED, request, back.pack_answer(status, answer)))
-        except StreamClosedError:
-            pass
-
     @staticmethod
     async def _read(stream: IOStream) -> tuple[back.Header, bytes]:
         header = back.parse_header(await stream.read_bytes(back.HEADER.size))
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -71,8 +71,8 @@
     def known_term(self) -> int:
         return max(self.election.known_term, self.election.me.term, self.link.term())
 
-    async def _on_relay(self, body: bytes) -> tuple[int, bytes]:
-        return await self.reports.relayed(body)
+    def _on_relay(self, body: bytes) -> tuple[int, bytes]:
+        return self.reports.relayed(body)
 
     def _on_job(self, note: back.JobNote) -> None:
         if self.controller is not None and self.controller.loaded:
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -12,13 +12,14 @@
 import logging
 import math
 import time
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 import msgspec
 
 from .. import constants as c
-from ..cluster.link import NoLink
+from ..cluster.link import NoLink, Peer
 from ..wire import workers as w
 from ..wire.users import Invalid
 
@@ -27,6 +28,8 @@
 
 log = logging.getLogger(__name__)
 
+Answer = tuple[int, bytes]  # status and body
+
 
 @dataclass(slots=True)
 class Contact:
@@ -47,7 +50,8 @@
         self.node = node
         self._contacts: dict[str, Contact] = {}
 
-    async def handle(self, body: bytes) -> tuple[int, bytes]:
+    def handle(self, body: bytes) -> Answer | Awaitable[Answer]:
+        """The answer to a report, at once where this node can give it: most reports then cost no task of their own."""
         try:
             report = w.parse_report(body)
         except Invalid as err:
@@ -60,12 +64,27 @@
             target = self._redirect(report.machine, home, now)
             if target is not None:
                 return 421, msgspec.json.encode(w.Redirect(target))
-        answer = self.take(report) or await self._hand_over(body, now) or self._renew(report)
-        if home is not None and answer[0] == 200:
-            self._known(report.machine, now).served = True
+        answer = self.take(report)
+        if answer is None:
+            leader = self.node.link.leader(now)
+            if leader is not None:
+                return self._hand_over(leader, body, report, home is not None)
+            answer = self._renew(report)
+        return self._note(report, answer, home is not None)
+
+    async def _hand_over(self, leader: Peer, body: bytes, report: w.Report, away: bool) -> Answer:
+        try:
+            answer = await self.node.link.relay(leader, body)
+        except NoLink:
+            answer = 503, b""
+        return self._note(report, answer if answer[0] == 200 else self._renew(report), away)
+
+    def _note(self, report: w.Report, answer: Answer, away: bool) -> Answer:
+        if away and answer[0] == 200:
+            self._known(report.machine, time.monotonic()).served = True
         return answer
 
-    def take(self, report: w.Report) -> tuple[int, bytes] | None:
+    def take(self, report: w.Report) -> Answer | None:
         """Answer as the leader, or None when this node does not lead."""
         controller = self.node.controller
         if controller is None or report.token > controller.term:
@@ -75,7 +94,7 @@
             return 421, msgspec.json.encode(w.Redirect())
         return 200, msgspec.json.encode(w.Commands(controller.term, commands))
 
-    async def relayed(self, body: bytes) -> tuple[int, bytes]:
+    def relayed(self, body: bytes) -> Answer:
         """A report that another node hands over."""
         try:
             answer = self.take(w.parse_report(body))
@@ -110,16 +129,6 @@
         seen.redirected = now
         return home
 
-    async def _hand_over(self, body: bytes, now: float) -> tuple[int, bytes] | None:
-        leader = self.node.link.leader(now)
-        if leader is None:
-            return None
-        try:
-            status, answer = await self.node.link.relay(leader, body)
-        except NoLink:
-            return None
-        return (status, answer) if status == 200 else None
-
     def _known(self, machine: str, now: float) -> Contact:
         """What this node remembers of a machine that reported to it though it does not lead."""
         seen = self._contacts.get(machine)
@@ -130,7 +139,7 @@
         seen.at = now
         return seen
 
-    def _renew(self, report: w.Report) -> tuple[int, bytes]:
+    def _renew(self, report: w.Report) -> Answer:
         """Keep the worker's tasks alive without a word of command."""
         term = max(report.token, self.node.known_term())
         if term == 0:
