--- a/winglift/net/budget.py
+++ b/winglift/net/budget.py
@@ -34,6 +34,19 @@
         self.tokens -= amount
         return True
 
+    def reserve(self, now: float, amount: float, max_wait: float) -> float | None:
+        """Seconds to wait for tokens that are kept from now on, first come first served; or None: it would take longer.
+
+        Without a place in the queue, each of 80 submissions in a rush saw a short wait, and most then waited for 5 s
+        and more, past their users' patience.
+        """
+        self._fill(now)
+        wait = max(0.0, (amount - self.tokens) / self.rate)
+        if wait > max_wait:
+            return None
+        self.tokens -= amount
+        return wait
+
     def free(self, now: float) -> float:
         """Tokens that are there."""
         self._fill(now)
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -121,11 +121,11 @@
             self._next_probe = now + c.STATE_PROBE_S
 
     async def _pace(self, budget: Budget, amount: float, max_wait: float) -> None:
-        wait = budget.wait_s(time.monotonic(), amount)
-        if wait > max_wait:
+        wait = budget.reserve(time.monotonic(), amount, max_wait)
+        if wait is None:
             raise Refused("budget of the state service used up")
-        while not budget.take(time.monotonic(), amount):
-            await asyncio.sleep(budget.wait_s(time.monotonic(), amount) + 0.002)
+        if wait > 0:
+            await asyncio.sleep(wait)
 
     async def _call(self, method: str, path: str, body: bytes | None = None, timeout: float = c.STATE_TIMEOUT_S,
                     max_wait: float = c.MAX_QUEUE_S, changes: int = 0, urgent: bool = False) -> Reply:
