--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -200,13 +200,16 @@
 
     def _step(self, now: float) -> None:
         picture = self.picture
-        if picture.changed or now - self._last_plan >= c.IDLE_CYCLE_S:
+        idle = now - self._last_plan >= c.IDLE_CYCLE_S
+        if picture.changed or idle:
             picture.changed = False
-            self._last_plan = now
             self._check_jobs(now)
             self._check_machines(now)
-            plan = make_plan(self.snapshot(now))
-            self._apply(plan, now)
+            # Reserves, returns and moves can wait a second; only waiting tasks are planned for at every change.
+            if idle or any(job.has_waiting for job in picture.jobs.values()):
+                self._last_plan = now
+                self._apply(make_plan(self.snapshot(now)), now)
+            self._drain(now)
         self.batcher.flush()
         if now >= self._next_images:
             self._next_images = now + c.IMAGES_EVERY_S
@@ -445,7 +448,6 @@
             self.inventory.rent(rental)
         self._return_idle(plan.spare, now)
         self._consolidate(plan.drain, now)
-        self._drain(now)
 
     def _return_idle(self, spare: set[str], now: float) -> None:
         """Idle machines go back near their paid boundary: the first paid stretch, then any second."""
--- a/winglift/model/job.py
+++ b/winglift/model/job.py
@@ -113,5 +113,10 @@
                     break
         return found
 
+    @property
+    def has_waiting(self) -> bool:
+        """Are there tasks that neither are done nor hold a place?"""
+        return self.is_open and len(self.active) + len(self.done) < self.spec.tasks
+
     def unfinished(self) -> int:
         return self.spec.tasks - len(self.done)
