--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -230,6 +230,16 @@
     assert make_plan(snapshot([room("m1"), room("m2", images={"img"})], [need])).starts == [("wk-1", [(0, "m2")])]
 
 
+def test_a_machine_that_fetches_other_images_is_the_last_choice_for_a_fetch():
+    """Images fetched together share the rate: services once fetched for 11 s beside another fetch, not for 7 s."""
+    need = p.Need("wk-1", spec("wk-1", tasks=1), [0], 1000.0, 60.0, {})
+    busy = room("m1", fetches=1)
+    busy.gpus = 1.0
+    assert make_plan(snapshot([busy, room("m2")], [need])).starts == [("wk-1", [(0, "m2")])]
+    ours = room("m1", fetches=1, images={"img"})
+    assert make_plan(snapshot([ours, room("m2")], [need])).starts == [("wk-1", [(0, "m1")])]
+
+
 def test_a_task_waits_while_its_slack_allows_and_is_rented_for_after():
     job = spec("wk-1", tasks=1, due_s=900.0)
     patient = make_plan(snapshot([], [p.Need("wk-1", job, [0], 1500.0, 60.0, {})]))
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -379,7 +379,7 @@
             mtype.memory_gb - load.memory_gb, images=load.images, empty=not machine.tasks, replicas=load.replicas,
             fixed=load.fixed, yields=load.yields, yield_gpus=load.yield_gpus,
             source=lambda: self._look(machine, within, now), soon_cpus=load.soon_cpus,
-            soon_gpus=load.soon_gpus, soon_memory_gb=load.soon_memory_gb,
+            soon_gpus=load.soon_gpus, soon_memory_gb=load.soon_memory_gb, fetches=load.fetches,
         )
 
     def _look(self, machine: Machine, within: set[str], now: float) -> tuple[list[policy.Victim], list[policy.Mover]]:
--- a/winglift/model/machine.py
+++ b/winglift/model/machine.py
@@ -63,6 +63,7 @@
     yield_gpus: tuple[float, float, float]  # their GPUs: of rank 0, up to rank 1, up to rank 2
     fixed: int  # the others
     images: frozenset[str]
+    fetches: int  # images that it fetches, or will once the starts arrive
 
 
 @dataclass(slots=True, eq=False)
@@ -104,10 +105,13 @@
         stopping: dict[str, tuple[float, float]] = {}
         by_rank = [0.0, 0.0, 0.0]
         images = set(self.images)
+        coming = set()
         for task in self.tasks.values():
             spec = task.job.spec
             cpus, gpus, memory = cpus + spec.cpus, gpus + spec.gpus, memory + spec.memory_gb
             images.add(spec.image)
+            if spec.image not in self.images:
+                coming.add(spec.image)
             if task.stopping:
                 soon_cpus, soon_gpus = soon_cpus + spec.cpus, soon_gpus + spec.gpus
                 soon_memory += spec.memory_gb
@@ -121,7 +125,7 @@
             else:
                 fixed += 1
         return Load(cpus, gpus, memory, soon_cpus, soon_gpus, soon_memory, stopping, replicas, yields,
-                    (by_rank[0], by_rank[0] + by_rank[1], sum(by_rank)), fixed, frozenset(images))
+                    (by_rank[0], by_rank[0] + by_rank[1], sum(by_rank)), fixed, frozenset(images), len(coming))
 
     def move(self, event: MachineEvent) -> MachineState:
         """The one place where a machine changes its state."""
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -20,7 +20,8 @@
     fetch = fetch_s(room, spec)
     end = now + room.ready_in + fetch + need.run_s
     late = end > need.sub_deadline and spec.due_s is not None
-    return (late, room.ready_in, fetch > 0, placed.get(room.zone, 0) if spec.spread else 0,
+    # Images fetched at the same time share the machine's rate: two fetches of 5 s once took 10 s each.
+    return (late, room.ready_in, 1 + room.fetches if fetch > 0 else 0, placed.get(room.zone, 0) if spec.spread else 0,
             spec.spot and not room.spot, room.gpus - spec.gpus, room.cpus, end)
 
 
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -56,6 +56,7 @@
     ready_in: float = 0.0  # s until it can take tasks
     images: frozenset[str] | set[str] = frozenset()
     victims: list[Victim] = field(default_factory=list)
+    fetches: int = 0  # images on their way to it, which share its rate
     empty: bool = False
     movers: list[Mover] = field(default_factory=list)
     replicas: int = 0  # movers, known without looking
