--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -230,6 +230,14 @@
     assert make_plan(snapshot([room("m1"), room("m2", images={"img"})], [need])).starts == [("wk-1", [(0, "m2")])]
 
 
+def test_a_gang_goes_to_the_zone_that_holds_its_image():
+    """A gang starts with its last task: in the roomiest zone it once fetched for 12 s and more."""
+    gang = p.Need("wk-1", spec("wk-1", tasks=2, gpus=2.0, kind=Kind.GANG, one_zone=True), [0, 1], 1000.0, 60.0, {})
+    rooms = [room("m1"), room("m2"), room("m3", "b", images={"img"}), room("m4")]
+    plan = make_plan(snapshot(rooms, [gang]))
+    assert plan.starts == [("wk-1", [(0, "m3"), (1, "m3")])]
+
+
 def test_a_machine_that_fetches_other_images_is_the_last_choice_for_a_fetch():
     """Images fetched together share the rate: services once fetched for 11 s beside another fetch, not for 7 s."""
     need = p.Need("wk-1", spec("wk-1", tasks=1), [0], 1000.0, 60.0, {})
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from .search import Search
-from .snapshot import Need, Room, Victim
+from .snapshot import Need, Room, Victim, fetch_s
 
 if TYPE_CHECKING:
     from .plan import Board
@@ -43,15 +43,25 @@
             return None
         rooms = board.up + board.coming if coming else board.up
         allowed = self._allowed(need, [r for r in rooms if (r.fits_soon(spec) if soon else r.fits(spec))])
+        best: tuple[float, list[Room]] | None = None
         for zone in self._zones(need):
             candidates = allowed.get(zone, [])
             if sum(r.slots(spec, soon) for r in candidates) < tasks:
                 continue
             taken = self._take(need, Search(need, candidates, board.snap.now, soon))
-            if len(taken) == tasks:
-                return taken
             for room in taken:
                 room.give(spec)
+            if len(taken) == tasks:
+                # It starts once the last task has its image: a zone whose machines hold it comes before a roomier one.
+                slowest = max(fetch_s(r, spec) for r in taken)
+                if best is None or slowest < best[0]:
+                    best = slowest, taken
+                if slowest <= 0:
+                    break
+        if best is not None:
+            for room in best[1]:
+                room.take(spec)
+            return best[1]
         if not spec.spread and not need.zones:
             board.misses.add(where, spec, tasks)
         return None
