--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -12,7 +12,7 @@
 from winglift.model.task import TaskState
 from winglift.store import records
 from winglift.store.batcher import Batcher
-from winglift.store.client import Malformed, Refused, Unknown
+from winglift.store.client import Health, Malformed, Refused, Unknown
 from winglift.wire import state as wire
 
 
@@ -27,6 +27,11 @@
         self.revision = 100
         self.tokens = 1000
 
+        self.good = Health.GOOD
+
+    def health(self):
+        return self.good
+
     def writes_free(self):
         return self.tokens
 
@@ -92,6 +97,20 @@
     assert state.sizes == [3, 3] and not any(j.dirty for j in picture.jobs.values())
 
 
+def test_in_an_outage_one_transaction_at_a_time_is_tried():
+    state, _, batcher = prepared(10)
+    state.good = Health.DOWN
+
+    async def first() -> int:
+        batcher.flush()
+        running = len(batcher._running)
+        while batcher._running:
+            await asyncio.sleep(0.01)
+        batcher.stop()
+        return running
+    assert asyncio.run(first()) == 1
+
+
 def states(picture):
     return {t.state for j in picture.jobs.values() for t in j.active.values()}
 
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -19,6 +19,7 @@
 FOLLOWER_WRITE_BURST = 0.35  # of the changes a second; what a follower may save up for a rush of submissions
 START_WRITES_KEPT = 0.3  # of the changes a second, kept free for starts and ends when progress is written
 PROGRESS_AFTER_S = 2.0  # s; progress of several tasks of a job then shares one change
+WRITE_AGAIN_S = 0.1  # s after a refused transaction until its changes are tried again
 FLUSH_AGAIN_S = 0.05  # s until changes are tried again that found no token
 WATCH_BLOCK_MS = 10_000  # ms; length of one watch
 WATCH_PAUSE_S = 0.05  # s; between two watches, so that many changes arrive as one answer
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -17,7 +17,7 @@
 from ..model.task import TaskEvent, TaskState
 from ..wire import state as wire
 from . import records
-from .client import LeaseGone, Malformed, Refused, StateClient, Unknown
+from .client import Health, LeaseGone, Malformed, Refused, StateClient, Unknown
 
 log = logging.getLogger(__name__)
 
@@ -57,11 +57,13 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if self.lost or len(self._running) >= c.COMMIT_PARALLEL:
+        # In an outage one try at a time finds out; packing hundreds of records for each refusal cost a core's tenth.
+        parallel = c.COMMIT_PARALLEL if self.state.health() is Health.GOOD else 1
+        if self.lost or len(self._running) >= parallel:
             return
         free = self.state.writes_free()
         due, left = self._due(free, time.monotonic())
-        while due and free >= 1 and len(self._running) < c.COMMIT_PARALLEL:
+        while due and free >= 1 and len(self._running) < parallel:
             free -= self._send(due, min(self.most_ops, free))
         if due or left:
             self._timer = asyncio.get_running_loop().call_later(c.FLUSH_AGAIN_S, self.flush)
@@ -121,7 +123,7 @@
             else:
                 log.debug("write refused: %s", err)
             self._again(batch, levels)
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(c.WRITE_AGAIN_S)
         except Unknown as err:
             # It may have been executed or may yet be: read before deciding anything else.
             log.info("write without an answer, reading again: %s", err)
