--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -84,7 +84,7 @@
 FIRST_PAID_S = 60.0  # s; the least that a rented machine costs
 
 # --- policy -----------------------------------------------------------------------------------
-CYCLE_PAUSE = 4.0  # of a cycle's own time, the least pause after it: users and workers come before a busy planner
+CYCLE_PAUSE = 6.0  # of a cycle's own time, the least pause after it: users and workers come before a busy planner
 CYCLE_S = 0.15  # s; the scheduling cycle: far below any start aim, cheap enough for half a core
 IDLE_CYCLE_S = 1.0  # s; at least this often, even when nothing has changed
 ESTIMATE_PAD = 1.25  # ratio; owners' estimates are often wrong by a third or more
