--- a/winglift/cli.py
+++ b/winglift/cli.py
@@ -40,7 +40,12 @@
     if args.check:
         print(f"winglift: {args.config} is valid (node {settings.node})")
         return 0
+    from .net.loop import new_loop
     from .node import Node
 
-    asyncio.run(Node(settings, rules).run())
+    async def daemon() -> None:
+        await Node(settings, rules).run()
+
+    with asyncio.Runner(loop_factory=new_loop) as runner:
+        runner.run(daemon())
     return 0
