--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from helpers import TYPE, settings, spec
 
@@ -12,7 +13,7 @@
 from winglift.model.task import TaskState
 from winglift.store import records
 from winglift.store.batcher import Batcher
-from winglift.store.client import Health, Malformed, Refused, Unknown
+from winglift.store.client import Health, Malformed, Refused, StateClient, Unknown
 from winglift.wire import state as wire
 
 
@@ -111,6 +112,17 @@
     assert asyncio.run(first()) == 1
 
 
+def test_batches_leave_changes_for_users_who_submit_at_the_leader():
+    limits = settings().settings.state
+    client = StateClient("127.0.0.1", 1, limits, 3)
+    client.set_leading(True)
+    client._writes.rate = 1e-6  # nothing comes in while this test runs, however slowly
+    free = client.writes_free()
+    assert free <= limits.write_rps * 0.7 - 2
+    assert client._writes.reserve(time.monotonic(), free, 0.0) == 0.0
+    assert client.writes_free() == 0 and client._writes.reserve(time.monotonic(), 1, 0.0) == 0.0
+
+
 def states(picture):
     return {t.state for j in picture.jobs.values() for t in j.active.values()}
 
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -17,6 +17,7 @@
 LEADER_SHARE = 0.6  # ratio of the request budget that the leader may use; the others share the rest
 LEADER_WRITE_SHARE = 0.7  # ratio of the changes a second that the leader may write
 FOLLOWER_WRITE_BURST = 0.35  # of the changes a second; what a follower may save up for a rush of submissions
+SUBMIT_WRITES_KEPT = 2  # changes that the leader's batches leave for submissions and cancellations at this node
 START_WRITES_KEPT = 0.3  # of the changes a second, kept free for starts and ends when progress is written
 PROGRESS_AFTER_S = 2.0  # s; progress of several tasks of a job then shares one change
 WRITE_AGAIN_S = 0.1  # s after a refused transaction until its changes are tried again
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -90,8 +90,11 @@
         self._writes.resize(max(1.0, self._limits.write_rps * share), max(1.0, self._limits.write_rps * burst), now)
 
     def writes_free(self) -> int:
-        """Changes that could be sent at once."""
-        return int(self._writes.free(time.monotonic()))
+        """Changes of the leader's records that could be sent at once; a few stay for users who submit here.
+
+        Batches once took every token as it came, and submissions at the leader waited or were refused.
+        """
+        return max(0, int(self._writes.free(time.monotonic()) - c.SUBMIT_WRITES_KEPT))
 
     # -- health --------------------------------------------------------------------------------
 
