--- a/winglift/cli.py
+++ b/winglift/cli.py
@@ -40,12 +40,7 @@
     if args.check:
         print(f"winglift: {args.config} is valid (node {settings.node})")
         return 0
-    from .net.loop import new_loop
     from .node import Node
 
-    async def daemon() -> None:
-        await Node(settings, rules).run()
-
-    with asyncio.Runner(loop_factory=new_loop) as runner:
-        runner.run(daemon())
+    asyncio.run(Node(settings, rules).run())
     return 0
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -107,7 +107,6 @@
 # --- memory and sockets -----------------------------------------------------------------------
 SOCKET_SHARE = 0.8  # of the socket limit; beyond it users are refused at once
 IDLE_CONNECTION_S = 75.0  # s; users poll every 5 s, so a connection silent this long is given up
-LOOP_GATHER_S = 0.004  # s in which a busy loop gathers events: far below any aim, above the steps of the timers
 POOL_PER_HOST = 8  # kept connections to one address
 POOL_IDLE_S = 20.0  # s; a kept connection unused this long is closed
 
