--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -314,13 +314,15 @@
     assert plan.starts == [("wk-1", [(0, "m2")])]
 
 
-def test_no_gang_is_stopped_to_spare_a_service_its_fetch():
+def test_no_gang_loses_its_start_to_spare_a_service_its_fetch():
     """40 gangs were once stopped 970 times in the first 100 s, most of them while they still fetched their images."""
-    gang = [p.Victim("wk-8", n, 2, "blue", 5.0, 2.0, 20.0, 5.0, 2, gang=True) for n in range(2)]
+    gang = [p.Victim("wk-8", n, 2, "blue", 5.0, 2.0, 20.0, 5.0, 2, frail=True) for n in range(2)]
     job = spec("wk-1", tasks=1, kind=Kind.SERVICE, priority=Priority.PRODUCTION)
     need = p.Need("wk-1", job, [0], 1000.0, 0.0, {})
     plan = make_plan(snapshot([full("m1", gang, images={"img"}), room("m2")], [need]))
     assert plan.starts == [("wk-1", [(0, "m2")])] and plan.stops == []
+    settled = [p.Victim("wk-8", 0, 2, "blue", 10.0, 4.0, 40.0, 5.0, 1)]
+    assert len(make_plan(snapshot([full("m1", settled, images={"img"}), room("m2")], [need])).stops) == 1
     # Without any other room it gives way.
     assert len(make_plan(snapshot([full("m1", gang, images={"img"})], [need])).stops) == 1
 
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -392,7 +392,7 @@
                 victims.append(policy.Victim(task.job.ref, task.index, spec.priority.rank, spec.team, spec.cpus,
                                              spec.gpus, spec.memory_gb, _lost_s(task, now),
                                              spec.tasks if spec.kind is Kind.GANG else 1, task.job.ref in within,
-                                             spec.kind is Kind.GANG))
+                                             _frail(task, now)))
             elif task.replica:
                 ran = now - (task.running_since if task.running_since is not None else now)
                 movers.append(policy.Mover(task.job.ref, spec, zone_counts(task.job), ran))
@@ -527,6 +527,13 @@
     return c.RESTART_S + (min(ran, task.job.spec.save_s) if task.job.spec.checkpoint_s > 0 else ran)
 
 
+def _frail(task: Task, now: float) -> bool:
+    """Would a stop cost a gang its start? A start counts only if it lasts, and several tasks seldom fit again soon."""
+    if task.job.kind is not Kind.GANG:
+        return False
+    return task.job.spec.tasks > 1 or task.running_since is None or now - task.running_since < c.MOVE_AFTER_S
+
+
 def heard_at(machine: Machine) -> float:
     """When a machine was last heard under this term, or else when this leader began to wait for it."""
     return machine.last_heard if machine.last_heard is not None else machine.known_since
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -158,7 +158,7 @@
             board, need = self.board, self.need
             where = ("offers", board.preemption.kind(need))
             hopeless = board.misses.known(where, need.spec)
-            found = Offers(board.preemption, need, () if hopeless else self._rooms(which), gangs=which == "up")
+            found = Offers(board.preemption, need, () if hopeless else self._rooms(which), frail=which == "up")
             if which == "up" and found.none and not hopeless:
                 board.misses.add(where, need.spec)
             self._all_offers[which] = found
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -48,11 +48,11 @@
         return (spec.priority.rank, spec.team if need.within else None, spec.spot, spec.zone, tuple(spec.types or ()),
                 spec.one_zone)
 
-    def victims(self, need: Need, room: Room, gangs: bool = True) -> list[Victim] | None:
-        """The cheapest set of tasks on one machine whose stop makes room, or None; with or without gangs."""
+    def victims(self, need: Need, room: Room, frail: bool = True) -> list[Victim] | None:
+        """The cheapest set of tasks on one machine whose stop makes room, or None; with or without frail gangs."""
         spec = need.spec
         room.look()
-        allowed = [v for v in room.victims if (gangs or not v.gang) and self.gives(need, v)]
+        allowed = [v for v in room.victims if (frail or not v.frail) and self.gives(need, v)]
         allowed.sort(key=lambda v: (v.rank, v.lost_s * v.group))
         cpus, gpus, mem = (room.cpus + room.soon_cpus, room.gpus + room.soon_gpus,
                            room.memory_gb + room.soon_memory_gb)
@@ -75,12 +75,12 @@
 class Offers:
     """For one need: the machines on which stopping something makes room, cheapest first.
 
-    Without `gangs`, only tasks that start again by themselves are stopped: to spare a service a fetch of 15 s, whole
-    gangs were once stopped, each time before they had run.
+    Without `frail`, only what starts again by itself is stopped: to spare a service a fetch of 15 s, whole gangs were
+    once stopped, each time before they had run. A gang of one that has run goes on from its checkpoint.
     """
 
-    def __init__(self, preemption: Preemption, need: Need, rooms: Iterable[Room], gangs: bool = True) -> None:
-        self.gangs = gangs
+    def __init__(self, preemption: Preemption, need: Need, rooms: Iterable[Room], frail: bool = True) -> None:
+        self.frail = frail
         self.preemption = preemption
         self.need = need
         self._heap: list[tuple[tuple, int, int, Room, int, list[Victim]]] = []
@@ -100,7 +100,7 @@
 
     def _entry(self, room: Room) -> tuple[tuple, int, int, Room, int, list[Victim]] | None:
         need = self.need
-        chosen = self.preemption.victims(need, room, self.gangs)
+        chosen = self.preemption.victims(need, room, self.frail)
         if not chosen:
             return None
         # A fetch makes production work late; others it costs no more than the time itself.
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -25,7 +25,7 @@
     lost_s: float  # work that stopping it would cost
     group: int  # tasks that stop with it
     within: bool = False  # its job is within its team's guarantee
-    gang: bool = False
+    frail: bool = False  # of a gang that would lose its start: it has several tasks, or hardly ran
 
 
 @dataclass(slots=True)
