--- a/winglift/cli.py
+++ b/winglift/cli.py
@@ -8,6 +8,8 @@
 import os
 import sys
 
+import uvloop
+
 from . import __version__
 from .config import script
 from .config.settings import SettingsError, load
@@ -42,5 +44,9 @@
         return 0
     from .node import Node
 
-    asyncio.run(Node(settings, rules).run())
+    async def daemon() -> None:
+        await Node(settings, rules).run()
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(daemon())
     return 0
