--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -8,6 +8,7 @@
 import pytest
 from helpers import spec
 from hypothesis import given
+from hypothesis import settings as hsettings
 from hypothesis import strategies as st
 
 from winglift.store import records
@@ -66,13 +67,17 @@
         return answer
 
 
-@given(st.integers(0, 10_000), st.lists(st.tuples(st.sampled_from(["put", "put", "ask", "ask", "forget", "pause"]),
-                                                  st.integers(0, 3)), max_size=40))
+STEPS = ["put", "put", "ask", "ask", "forget", "pause", "settle"]
+
+
+@hsettings(max_examples=400)
+@given(st.integers(0, 10_000),
+       st.lists(st.tuples(st.sampled_from(STEPS), st.integers(0, 1)), min_size=20, max_size=60))
 def test_no_answer_is_older_than_the_question(seed, steps):
     async def scenario() -> None:
         state = FakeState(random.Random(seed))
         mirror: Mirror[int] = Mirror(state, lambda ref, record: record.low, 0.0)  # type: ignore[arg-type]
-        low = dict.fromkeys(range(4), 0)
+        low = dict.fromkeys(range(2), 0)
 
         async def ask(job: int, least: int) -> None:
             try:
@@ -90,6 +95,8 @@
                 asked.append(asyncio.ensure_future(ask(job, low[job])))
             elif step == "forget":
                 state.oldest = state.revision
+            elif step == "settle":
+                await asyncio.gather(*asked)
             else:
                 await asyncio.sleep(0)
         await asyncio.gather(*asked)
