--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -294,3 +294,20 @@
             assert (await w.ask("POST", "/work", job("wk-99"), node=0))[0] == 201
             assert (await w.ask("GET", "/work/wk-99", node=1))[0] == 200
     asyncio.run(scenario())
+
+
+def test_reports_take_the_short_way_and_everything_else_the_handlers():
+    async def scenario() -> None:
+        async with world() as w:
+            assert (await w.ask("GET", "/v1/report"))[0] == 404
+            assert (await w.ask("POST", "/v1/report", b"x" * 70_000))[0] in (400, 413)
+            # Two requests on one kept connection: a bad report does not spoil it for the next.
+            reader, writer = await asyncio.open_connection("127.0.0.1", w.addresses[0][1])
+            for path, status in (("POST /v1/report", b"400"), ("GET /up", b"200"), ("POST /v1/report", b"400")):
+                writer.write(f"{path} HTTP/1.1\r\nHost: n\r\nContent-Length: 2\r\n\r\n{{}}".encode())
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE_S)
+                assert head.split()[1] == status
+                length = next(int(x.split(b":")[1]) for x in head.split(b"\r\n") if x.lower()[:10] == b"content-le")
+                await reader.readexactly(length)
+            writer.close()
+    asyncio.run(scenario())
--- a/winglift/api/handlers.py
+++ b/winglift/api/handlers.py
@@ -1,4 +1,4 @@
-"""HTTP handlers of a node: users, workers and the health check."""
+"""HTTP handlers of a node: users and the health check. Workers' reports are taken in `front`."""
 
 from __future__ import annotations
 
@@ -124,12 +124,6 @@
             self.refuse(503, why, c.RETRY_AFTER_S)
 
 
-class ReportIn(Base):
-    async def post(self) -> None:
-        status, body = await self.node.reports.handle(self.request.body)
-        self.reply(status, body)
-
-
 class NotFound(Base):
     def prepare(self) -> None:
         raise web.HTTPError(404)
@@ -146,7 +140,6 @@
     args = {"node": node}
     return web.Application(
         [
-            (r"/v1/report", ReportIn, args),
             (r"/work", Submit, args),
             (r"/work/([^/]*)", Status, args),
             (r"/work/([^/]*)/abort", Cancel, args),
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -11,6 +11,7 @@
 from tornado.iostream import IOStream
 
 from . import constants as c
+from .api.front import Front
 from .api.handlers import application
 from .api.jobs import Jobs, status_of
 from .cloud.client import CloudClient, CloudError
@@ -146,7 +147,7 @@
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
     async def run(self) -> None:
-        server = self._server = CountingServer(application(self), max_body_size=c.MAX_BODY,
+        server = self._server = CountingServer(Front(application(self), self.reports.handle), max_body_size=c.MAX_BODY,
                                                idle_connection_timeout=c.IDLE_CONNECTION_S)
         host, port = parse_addr(self.settings.client_listen, "client_listen")
         server.listen(port, host)
