--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -7,6 +7,7 @@
 
 from helpers import TYPE, settings, spec
 
+from winglift.config.settings import State
 from winglift.model.leadership import Leadership, Role
 from winglift.model.machine import MachineState
 from winglift.model.picture import PROGRESS, Picture
@@ -123,6 +124,22 @@
     assert client.writes_free() == 0 and client._writes.reserve(time.monotonic(), 1, 0.0) == 0.0
 
 
+def test_progress_is_written_in_the_end_however_small_the_budget():
+    """With five changes a second none were ever spare, and ended tasks would have stayed on their machines for good."""
+    state, picture, batcher = prepared(1)
+    (job,) = picture.jobs.values()
+    job.dirty = PROGRESS
+    batcher._waits = {job.ref: -100.0}
+    state.tokens = 1
+    settle(batcher)
+    assert state.sizes == [1] and not job.dirty
+    for write_rps in (1.0, 2.0, 5.0, 50.0):
+        client = StateClient("127.0.0.1", 1, State(rps=5.0, write_rps=write_rps, value_kb=4.0, txn_ops=8), 3)
+        client.set_leading(True)
+        client._writes.tokens = client._writes.burst
+        assert client.writes_free() >= 1
+
+
 def states(picture):
     return {t.state for j in picture.jobs.values() for t in j.active.values()}
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -296,6 +296,20 @@
     asyncio.run(scenario())
 
 
+def test_a_record_of_another_program_spoils_no_other_answer():
+    async def scenario() -> None:
+        async with world(run_s=60.0) as w:
+            assert (await w.ask("POST", "/work", job("wk-1")))[0] == 201
+            await w.becomes("wk-1", "running")
+            odd = w.state.keys["job/wk-1"][0] | {"o": "x"}
+            for value in ({"novel": 1}, odd):
+                w.state.apply([{"write": "job/wk-2", "v": value}])
+                assert (await w.ask("GET", "/work/wk-1"))[0] == 200
+                assert (await w.ask("GET", "/work/wk-2"))[0] in (500, 503)
+                assert (await w.ask("GET", "/work/wk-1"))[0] == 200
+    asyncio.run(scenario())
+
+
 def test_reports_take_the_short_way_and_everything_else_the_handlers():
     async def scenario() -> None:
         async with world() as w:
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -78,7 +78,9 @@
         spare = free - len(due) - int(self.limits.write_rps * c.START_WRITES_KEPT)
         late = [j for j in dirty if j.dirty > START and now - waiting[j.ref] >= c.PROGRESS_AFTER_S]
         late.sort(key=lambda j: waiting[j.ref])
-        return due + late[:max(0, spare)], bool(waiting)
+        # However busy the service is, or small its budget: what has waited this long is due like a start.
+        overdue = sum(now - waiting[j.ref] >= c.PROGRESS_MOST_S for j in late)
+        return due + late[:max(overdue, spare)], bool(waiting)
 
     def _send(self, due: list[Job], most: int) -> int:
         """One transaction with the first of what is due; how many changes it holds."""
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -87,14 +87,16 @@
             share = c.LEADER_WRITE_SHARE if leads else (1 - c.LEADER_WRITE_SHARE) / (self._nodes - 1)
         # A follower writes seldom, but then for many users at once: it may save up more than its part of a second.
         burst = share if leads or self._nodes == 1 else max(share, c.FOLLOWER_WRITE_BURST)
-        self._writes.resize(max(1.0, self._limits.write_rps * share), max(1.0, self._limits.write_rps * burst), now)
+        # However small the budget, one change with what is kept for users must fit into the burst.
+        self._writes.resize(max(1.0, self._limits.write_rps * share), max(1.5, self._limits.write_rps * burst), now)
 
     def writes_free(self) -> int:
         """Changes of the leader's records that could be sent at once; a few stay for users who submit here.
 
         Batches once took every token as it came, and submissions at the leader waited or were refused.
         """
-        return max(0, int(self._writes.free(time.monotonic()) - c.SUBMIT_WRITES_KEPT))
+        kept = min(c.SUBMIT_WRITES_KEPT, self._writes.burst * c.SUBMIT_WRITES_SHARE)
+        return max(0, int(self._writes.free(time.monotonic()) - kept))
 
     # -- health --------------------------------------------------------------------------------
 
--- a/winglift/store/mirror.py
+++ b/winglift/store/mirror.py
@@ -91,7 +91,8 @@
                 ref = event.put[len(records.JOB):]
                 try:
                     self.note(ref, event.version, records.decode(event.value))
-                except records.BadRecord as err:
+                except ValueError as err:
+                    # Not written by this program (BadRecord is a ValueError): it must not stop the others' answers.
                     self._known.pop(ref, None)
                     log.error("record of %s: %s", ref, err)
         if self._revision is not None:
