Import circles opened: entities, the board, protocols for what parts need of a node

Three circles hid behind TYPE_CHECKING: api/handlers, node and workers/reports; model/job, machine and task; policy/gangs, plan and reserve. The classes that know one another stand in model/entities.py, their states stay where they were; what all parts of a cycle share is policy/board.py; handlers and reports say by a protocol what they need of their node. Records of jobs are the model's: the picture had imported them from a layer above.

--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -8,11 +8,11 @@
 from helpers import TYPE, settings, spec
 
 from winglift.config.settings import State
+from winglift.model import records
 from winglift.model.leadership import Leadership, Role
 from winglift.model.machine import MachineState
 from winglift.model.picture import PROGRESS, Picture
 from winglift.model.task import TaskState
-from winglift.store import records
 from winglift.store.batcher import Batcher
 from winglift.store.client import Health, Malformed, Refused, StateClient, Unknown
 from winglift.wire import state as wire
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -7,15 +7,14 @@
 from hypothesis import strategies as st
 
 from winglift import constants as c
-from winglift.model import blame
+from winglift.model import blame, records
 from winglift.model.boots import Boots, overdue
-from winglift.model.job import Job
-from winglift.model.machine import Machine, MachineState
+from winglift.model.entities import Job, Machine
+from winglift.model.machine import MachineState
 from winglift.model.picture import Picture
 from winglift.policy import snapshot as p
 from winglift.policy.plan import make_plan
 from winglift.policy.renting import Renting
-from winglift.store import records
 from winglift.store.batcher import pack
 from winglift.wire import workers as w
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -11,7 +11,7 @@
 from hypothesis import settings as hsettings
 from hypothesis import strategies as st
 
-from winglift.store import records
+from winglift.model import records
 from winglift.store.client import Refused, TooOld
 from winglift.store.election import Election
 from winglift.store.mirror import Mirror
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -19,9 +19,9 @@
 
 from winglift import constants as c
 from winglift.cloud.client import CloudClient, NotEntitled
+from winglift.model import records
 from winglift.model.leadership import Leadership, RoleEvent
 from winglift.net.client import Reply
-from winglift.store import records
 from winglift.store.client import Refused
 from winglift.store.mirror import Mirror
 from winglift.wire import cloud as wire
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -7,10 +7,10 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from winglift.model import records
 from winglift.model.leadership import Leadership, Role, RoleEvent
 from winglift.model.picture import Picture
 from winglift.model.task import TRANSITIONS, TaskEvent, TaskState, WrongEvent, next_state
-from winglift.store import records
 from winglift.store.batcher import pack
 from winglift.wire import workers as w
 from winglift.wire.users import Kind
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -9,8 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from winglift.model import records
 from winglift.model.job import DoneSet
-from winglift.store import records
 from winglift.wire import back, users, workers
 
 JSON = st.recursive(st.none() | st.booleans() | st.integers() | st.floats(allow_nan=False) | st.text(max_size=8),
--- a/winglift/api/handlers.py
+++ b/winglift/api/handlers.py
@@ -3,27 +3,37 @@
 from __future__ import annotations
 
 import logging
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 from tornado import httputil, web
 from tornado.httputil import HTTPServerRequest
 
 from .. import constants as c
-from ..store.records import BadRecord
+from ..model.records import BadRecord
 from ..wire import users
-from .jobs import NeverRuns, NotNow
-
-if TYPE_CHECKING:
-    from ..node import Node
+from .jobs import Jobs, NeverRuns, NotNow
 
 log = logging.getLogger(__name__)
 
 
+class Service(Protocol):
+    """What the handlers need of the node that they belong to."""
+
+    @property
+    def jobs(self) -> Jobs: ...
+
+    def crowded(self) -> bool:
+        """Are so many connections open that users are better refused?"""
+
+    def not_up(self) -> str | None:
+        """Why the node can't serve requests, or None."""
+
+
 class Base(web.RequestHandler):
-    node: Node
+    node: Service
 
-    def initialize(self, node: Node) -> None:
+    def initialize(self, node: Service) -> None:
         self.node = node
 
     def check_etag_header(self) -> bool:
@@ -136,7 +146,7 @@
         log.debug("%d %s %s", handler.get_status(), request.method, request.path)
 
 
-def application(node: Node) -> web.Application:
+def application(node: Service) -> web.Application:
     args = {"node": node}
     return web.Application(
         [
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -9,9 +9,9 @@
 
 from .. import constants as c
 from ..config.settings import Settings
+from ..model import records
 from ..model.job import JobState
 from ..model.teams import exceeds_limit
-from ..store import records
 from ..store.client import Health, LeaseGone, Refused, StateClient, Unknown
 from ..store.mirror import Mirror
 from ..wire import state as wire
--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -10,7 +10,8 @@
 from msgspec.structs import replace
 
 from .. import constants as c
-from ..model.machine import Machine, MachineEvent, MachineState
+from ..model.entities import Machine
+from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
 from ..policy.snapshot import Rental
 from ..wire import cloud as wire
--- a/winglift/controller.py
+++ b/winglift/controller.py
@@ -14,17 +14,18 @@
 from .cluster.link import Link
 from .config.script import Script
 from .config.settings import Settings
+from .model import records
 from .model.blame import suspect
-from .model.job import Job, JobState
-from .model.machine import Machine, MachineEvent, MachineState
+from .model.entities import Job, Machine, Task
+from .model.job import JobState
+from .model.machine import MachineEvent, MachineState
 from .model.picture import Picture, zone_counts
-from .model.task import PRESENT, Task, TaskState
+from .model.task import PRESENT, TaskState
 from .policy import snapshot as policy
 from .policy.plan import make_plan
 from .policy.renting import merge_rentals
 from .policy.reserve import reserve_size
 from .policy.split import sub_deadline
-from .store import records
 from .store.batcher import Batcher
 from .store.client import Refused, StateClient, TooOld, Unknown
 from .store.election import Election
--- a/winglift/model/blame.py
+++ b/winglift/model/blame.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 from .. import constants as c
-from .job import Job
-from .machine import Machine
+from .entities import Job, Machine
 from .task import TaskState
 
 
--- a/winglift/model/boots.py
+++ b/winglift/model/boots.py
@@ -13,7 +13,8 @@
 
 from .. import constants as c
 from ..wire.cloud import MachineType
-from .machine import Machine, MachineState
+from .entities import Machine
+from .machine import MachineState
 
 Place = tuple[str, str]  # machine type and zone
 
--- /dev/null
+++ b/winglift/model/entities.py
@@ -0,0 +1,235 @@
+"""Jobs, tasks and machines as the leader sees them: each knows the others that it has to do with.
+
+Their states and the ways between them stand in `job`, `task` and `machine`.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..wire.cloud import MachineType
+from ..wire.users import Kind, Priority, Submission
+from .job import JOB_TRANSITIONS, DoneSet, JobEvent, JobState
+from .machine import TRANSITIONS as MACHINE_TRANSITIONS
+from .machine import MachineEvent, MachineState
+from .task import PRESENT, TaskEvent, TaskState, next_state
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    ref: str
+    spec: Submission
+    submitted: float  # time of day, from the node that accepted it
+    version: int = 0  # revision of the record as last known
+    state: JobState = JobState.OPEN
+    done: DoneSet = field(default_factory=lambda: DoneSet(0))
+    next_attempt: int = 1
+    active: dict[int, Task] = field(default_factory=dict)
+    # what the committed record says: assignments by task number, and whether a task is done
+    recorded: dict[int, tuple[str, int]] = field(default_factory=dict)
+    recorded_state: JobState = JobState.OPEN
+    dirty: int = 0  # 0: as recorded; the smaller the number above it, the sooner it is written
+    writing: bool = False
+    pending: tuple[int, bytes] | None = None  # a change by others, seen while a write is under way
+    not_before: float = 0.0
+    failures: int = 0  # rounds of failed starts
+    failed_on: dict[str, None] = field(default_factory=dict)  # machines where a task failed, the latest last
+    proven: bool = False  # a task of it has completed
+    cancel_seen: float | None = None
+    gang_started: bool = False  # the present attempt has been seen running
+    gang_broken: bool = False
+    first_seen: float = 0.0
+
+    @property
+    def kind(self) -> Kind:
+        return self.spec.kind
+
+    @property
+    def is_open(self) -> bool:
+        return self.state is JobState.OPEN
+
+    def move(self, event: JobEvent) -> JobState:
+        """The one place where a job changes its state."""
+        self.state = JOB_TRANSITIONS[self.state, event]
+        return self.state
+
+    def mark(self, level: int) -> None:
+        self.dirty = min(self.dirty, level) if self.dirty else level
+
+    def waiting_tasks(self, most: int) -> list[int]:
+        """Numbers of tasks that neither are done nor hold a place, lowest first."""
+        found: list[int] = []
+        if not self.is_open:
+            return found
+        above, active = self.done.above, self.active
+        for index in self.done.window():
+            if index not in above and index not in active:
+                found.append(index)
+                if len(found) >= most:
+                    break
+        return found
+
+    @property
+    def has_waiting(self) -> bool:
+        """Are there tasks that neither are done nor hold a place?"""
+        return self.is_open and len(self.active) + len(self.done) < self.spec.tasks
+
+    def unfinished(self) -> int:
+        return self.spec.tasks - len(self.done)
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One start of one task: an attempt on a machine."""
+
+    job: Job
+    index: int
+    attempt: int
+    machine: Machine
+    state: TaskState
+    since: float  # when the state last changed
+    sent_session: int = 0
+    sent_seq: int = 0
+    running_since: float | None = None
+    stop_grace: float | None = None  # set once the task is told to stop
+    stop_at: float = 0.0  # when it was last told so directly
+
+    @property
+    def name(self) -> str:
+        return f"{self.job.ref}/{self.index}"
+
+    def move(self, event: TaskEvent, now: float) -> TaskState:
+        """The one place where a task changes its state."""
+        new = next_state(self.state, event)
+        if new is not self.state:
+            self.state = new
+            self.machine.touch()
+            self.since = now
+            if new is TaskState.RUNNING and self.running_since is None:
+                self.running_since = now
+            elif new in (TaskState.COMMITTED, TaskState.SENT):
+                self.running_since = None
+        return new
+
+    def tell_stop(self, grace_s: float) -> None:
+        """The one place where a task is marked to be stopped."""
+        self.stop_grace = grace_s
+        self.machine.touch()
+
+    @property
+    def stopping(self) -> bool:
+        return self.stop_grace is not None
+
+    @property
+    def replica(self) -> bool:
+        """A running part of a service, which could be started elsewhere."""
+        return not self.stopping and self.job.kind is Kind.SERVICE and self.state is TaskState.RUNNING
+
+    @property
+    def yields(self) -> bool:
+        """Could it be stopped to make room?"""
+        return (not self.stopping and self.state in PRESENT and not self.replica
+                and self.job.spec.priority is not Priority.PRODUCTION)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """What a machine's tasks take of it, and what of it might be free soon."""
+
+    cpus: float
+    gpus: float
+    memory_gb: float
+    soon_cpus: float  # of tasks being stopped
+    soon_gpus: float
+    soon_memory_gb: float
+    stopping: dict[str, tuple[float, float]]  # team: CPUs and GPUs of tasks being stopped
+    replicas: int  # running parts of services
+    yields: int  # tasks that could be stopped to make room
+    yield_gpus: tuple[float, float, float]  # their GPUs: of rank 0, up to rank 1, up to rank 2
+    fixed: int  # the others
+    images: frozenset[str]
+    fetches: int  # images that it fetches, or will once the starts arrive
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    name: str
+    type: MachineType | None
+    type_name: str
+    zone: str
+    spot: bool
+    state: MachineState
+    known_since: float
+    rented_at: float  # steady time of the rental, as well as it is known
+    addr: str = ""
+    session: int = 0
+    seq: int = -1
+    last_heard: float | None = None
+    taken_at: float | None = None  # when a notice runs out
+    tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
+    strangers: dict[tuple[str, int], int] = field(default_factory=dict)  # on it, in no record: attempt
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    blamed: dict[Job, int] = field(default_factory=dict)  # failed tasks since one completed there, per job
+    idle_since: float | None = None
+    drain_reason: str = ""
+    _load: Load | None = None
+
+    def touch(self) -> None:
+        """Its tasks or images have changed. Called by each function that changes a state, and by nothing else."""
+        self._load = None
+
+    def load(self) -> Load:
+        """Added up anew only after a change: most machines stay as they are from one cycle to the next."""
+        if self._load is None:
+            self._load = self._add_up()
+        return self._load
+
+    def _add_up(self) -> Load:
+        cpus = gpus = memory = soon_cpus = soon_gpus = soon_memory = 0.0
+        replicas = yields = fixed = 0
+        stopping: dict[str, tuple[float, float]] = {}
+        by_rank = [0.0, 0.0, 0.0]
+        images = set(self.images)
+        coming = set()
+        for task in self.tasks.values():
+            spec = task.job.spec
+            cpus, gpus, memory = cpus + spec.cpus, gpus + spec.gpus, memory + spec.memory_gb
+            images.add(spec.image)
+            if spec.image not in self.images:
+                coming.add(spec.image)
+            if task.stopping:
+                soon_cpus, soon_gpus = soon_cpus + spec.cpus, soon_gpus + spec.gpus
+                soon_memory += spec.memory_gb
+                before = stopping.get(spec.team, (0.0, 0.0))
+                stopping[spec.team] = (before[0] + spec.cpus, before[1] + spec.gpus)
+            elif task.replica:
+                replicas += 1
+            elif task.yields:
+                yields += 1
+                by_rank[spec.priority.rank] += spec.gpus
+            else:
+                fixed += 1
+        return Load(cpus, gpus, memory, soon_cpus, soon_gpus, soon_memory, stopping, replicas, yields,
+                    (by_rank[0], by_rank[0] + by_rank[1], sum(by_rank)), fixed, frozenset(images), len(coming))
+
+    def move(self, event: MachineEvent) -> MachineState:
+        """The one place where a machine changes its state."""
+        new = MACHINE_TRANSITIONS.get((self.state, event))
+        if new is not None:
+            self.state = new
+        return self.state
+
+    @property
+    def usable(self) -> bool:
+        return self.state is MachineState.UP
+
+    def remember_image(self, image: str, gb: float) -> None:
+        """Workers cache the most recently used images; this follows what they must hold."""
+        self.images[image] = gb
+        self.images.move_to_end(image)
+        room = self.type.cache_gb if self.type else 0.0
+        total = sum(self.images.values())
+        while len(self.images) > 1 and total > room:
+            total -= self.images.popitem(last=False)[1]
+        self.touch()
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -6,15 +6,15 @@
 from collections.abc import Callable, Iterable
 
 from ..config.settings import Settings
-from ..store import records
 from ..wire import workers as w
 from ..wire.cloud import MachineType
 from ..wire.users import Kind
-from . import blame
+from . import blame, records
 from .boots import Boots
-from .job import Job, JobEvent, JobState
-from .machine import Machine, MachineEvent, MachineState
-from .task import PRESENT, Task, TaskEvent, TaskState
+from .entities import Job, Machine, Task
+from .job import JobEvent, JobState
+from .machine import MachineEvent, MachineState
+from .task import PRESENT, TaskEvent, TaskState
 from .teams import Ledger
 
 log = logging.getLogger(__name__)
--- a/winglift/store/records.py
+++ b/winglift/model/records.py
@@ -8,9 +8,10 @@
 
 import msgspec
 
-from ..model.job import DoneSet, JobState
-from ..model.task import Task, TaskState
 from ..wire.users import Submission
+from .entities import Task
+from .job import DoneSet, JobState
+from .task import TaskState
 
 JOB = "job/"
 LEADER = "leader"
--- a/winglift/model/task.py
+++ b/winglift/model/task.py
@@ -1,16 +1,8 @@
-"""A task's life while it holds a place, as a state machine with one function for every change."""
+"""A task's life while it holds a place: its states, and which event leads from one to the next."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from enum import Enum, auto
-from typing import TYPE_CHECKING
-
-from ..wire.users import Kind, Priority
-
-if TYPE_CHECKING:
-    from .job import Job
-    from .machine import Machine
 
 
 class TaskState(Enum):
@@ -80,57 +72,3 @@
         return TRANSITIONS[state, event]
     except KeyError:
         raise WrongEvent(f"{event.name} in {state.name}") from None
-
-
-@dataclass(slots=True, eq=False)
-class Task:
-    """One start of one task: an attempt on a machine."""
-
-    job: Job
-    index: int
-    attempt: int
-    machine: Machine
-    state: TaskState
-    since: float  # when the state last changed
-    sent_session: int = 0
-    sent_seq: int = 0
-    running_since: float | None = None
-    stop_grace: float | None = None  # set once the task is told to stop
-    stop_at: float = 0.0  # when it was last told so directly
-
-    @property
-    def name(self) -> str:
-        return f"{self.job.ref}/{self.index}"
-
-    def move(self, event: TaskEvent, now: float) -> TaskState:
-        """The one place where a task changes its state."""
-        new = next_state(self.state, event)
-        if new is not self.state:
-            self.state = new
-            self.machine.touch()
-            self.since = now
-            if new is TaskState.RUNNING and self.running_since is None:
-                self.running_since = now
-            elif new in (TaskState.COMMITTED, TaskState.SENT):
-                self.running_since = None
-        return new
-
-    def tell_stop(self, grace_s: float) -> None:
-        """The one place where a task is marked to be stopped."""
-        self.stop_grace = grace_s
-        self.machine.touch()
-
-    @property
-    def stopping(self) -> bool:
-        return self.stop_grace is not None
-
-    @property
-    def replica(self) -> bool:
-        """A running part of a service, which could be started elsewhere."""
-        return not self.stopping and self.job.kind is Kind.SERVICE and self.state is TaskState.RUNNING
-
-    @property
-    def yields(self) -> bool:
-        """Could it be stopped to make room?"""
-        return (not self.stopping and self.state in PRESENT and not self.replica
-                and self.job.spec.priority is not Priority.PRODUCTION)
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -19,8 +19,8 @@
 from .config.script import Script
 from .config.settings import Settings, parse_addr
 from .controller import Controller
+from .model import records
 from .model.leadership import Role
-from .store import records
 from .store.client import Health, StateClient
 from .store.election import Election
 from .wire import back
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -2,14 +2,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
+from .board import Board
 from .search import Search
 from .snapshot import Need, Room, Victim, fetch_s
 
-if TYPE_CHECKING:
-    from .plan import Board
-
 
 class Gangs:
     def __init__(self, board: Board) -> None:
--- a/winglift/policy/reserve.py
+++ b/winglift/policy/reserve.py
@@ -4,17 +4,14 @@
 
 import math
 from collections.abc import Iterable, Sequence
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from .. import constants as c
 from ..model.teams import EPS
+from .board import Board
 from .snapshot import Need, Reserve, Room
 
-if TYPE_CHECKING:
-    from .plan import Board
-
 
 def reserve_size(arrivals: Sequence[tuple[float, int]], now: float, boot_s: float, deviations: float) -> int:
     """Tasks to keep room for: what may arrive while a machine boots.
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -11,12 +11,12 @@
 
 from .. import constants as c
 from ..config.settings import State
-from ..model.job import Job
+from ..model import records
+from ..model.entities import Job
 from ..model.leadership import Leadership
 from ..model.picture import START, Picture
 from ..model.task import TaskEvent, TaskState
 from ..wire import state as wire
-from . import records
 from .client import Health, LeaseGone, Malformed, Refused, StateClient, Unknown
 
 log = logging.getLogger(__name__)
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -16,9 +16,9 @@
 
 from .. import constants as c
 from ..model.leadership import Leadership, Role, RoleEvent
+from ..model.records import LEADER, TERM, LeaderRecord, TermRecord
 from ..wire import state as wire
 from .client import LeaseGone, Refused, StateClient, Unknown
-from .records import LEADER, TERM, LeaderRecord, TermRecord
 
 log = logging.getLogger(__name__)
 
--- a/winglift/store/mirror.py
+++ b/winglift/store/mirror.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from .. import constants as c
-from . import records
+from ..model import records
 from .client import Refused, StateClient, TooOld
 
 log = logging.getLogger(__name__)
--- a/winglift/workers/commands.py
+++ b/winglift/workers/commands.py
@@ -9,10 +9,10 @@
 import msgspec
 
 from .. import constants as c
+from ..model.entities import Machine, Task
 from ..model.leadership import Leadership
-from ..model.machine import Machine
 from ..model.picture import Picture
-from ..model.task import PRESENT, Task, TaskState
+from ..model.task import PRESENT, TaskState
 from ..net.client import Client, Unanswered
 from ..wire import workers as w
 from ..wire.users import Invalid
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -14,23 +14,50 @@
 import time
 from collections.abc import Awaitable
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
 from .. import constants as c
-from ..cluster.link import NoLink, Peer
+from ..cluster.link import Link, NoLink, Peer
+from ..config.settings import Settings
 from ..wire import workers as w
 from ..wire.users import Invalid
 
-if TYPE_CHECKING:
-    from ..node import Node
-
 log = logging.getLogger(__name__)
 
 Answer = tuple[int, bytes]  # status and body
 
 
+class Leader(Protocol):
+    """What answers reports need of the leader's work."""
+
+    @property
+    def term(self) -> int: ...
+
+    def on_report(self, report: w.Report) -> list[w.Command] | None:
+        """Commands for the worker, or None if it is not to be answered with 200."""
+
+    def starts_wait(self, name: str) -> bool:
+        """Are there starts that the next report's answer should carry?"""
+
+
+class Service(Protocol):
+    """What answering reports needs of the node that they come to."""
+
+    @property
+    def settings(self) -> Settings: ...
+
+    @property
+    def link(self) -> Link: ...
+
+    @property
+    def controller(self) -> Leader | None: ...
+
+    def known_term(self) -> int:
+        """The highest term that this node has heard of."""
+
+
 @dataclass(slots=True)
 class Contact:
     """A worker that belongs to another node. It is served first, and only then sent there:
@@ -46,7 +73,7 @@
 
 
 class Reports:
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Service) -> None:
         self.node = node
         self._contacts: dict[str, Contact] = {}
 
