Cancellations outlive their leader: the record holds the moment, not one node's memory

Each leader had counted the cancellation from when it first saw the record itself. The node that commits a cancellation now writes its time of day; every leader counts from there with twice skew_ms, or from the last look in which it saw the job open, whichever is later (a transaction may be applied minutes after the time it holds). A record without the time counts as old. A successor first hears a machine for two reports, unless the last moment that helps is near. A machine that the lagging list calls booting is looked at too. In an outage that all nodes share, the leader in doubt still stops cancelled tasks and deletes machines that can't be told; nothing else. Generated tests change the leader up to four times, also by standstill, at any point of a cancellation out of reach, with clocks up to 2 s off: all deletions leave in time (one look late at most).

--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -122,7 +122,7 @@
             return
         machine = self.picture.machines[report.machine]
         if report.token == self.term:
-            commands = commands + orders(self.picture, machine, report, self.now)
+            commands = commands + orders(machine, report, self.now)
         if answered and (report.session, report.seq) == (worker.session, worker.seq):
             for task in worker.obey(self.term, commands):
                 ref, _, index = task.partition("/")
--- /dev/null
+++ b/tests/test_successors.py
@@ -0,0 +1,161 @@
+"""What a leader knew must not be lost with it where a rule rests on it: cancellations under changing leaders."""
+
+from __future__ import annotations
+
+import math
+from types import SimpleNamespace
+
+import pytest
+from helpers import TYPE, settings, spec
+from hypothesis import given
+from hypothesis import strategies as st
+from test_leader import leader
+
+from winglift import constants as c
+from winglift.model import records
+from winglift.model.leadership import Role
+from winglift.model.machine import MachineState
+from winglift.model.picture import Picture
+from winglift.model.recorded import apply_record
+from winglift.policy.care import Care
+from winglift.store.batcher import pack
+from winglift.store.client import Health
+from winglift.wire import workers as w
+
+WORKERS = settings().settings.workers
+SKEW_S = 2.0
+EPOCH = 1.7e9  # time of day at the true time 0, when the user is told
+DELETION_S = 3.0  # the longest that a deletion takes which the cloud answers at the first try
+LIMIT = WORKERS.cancel_s * c.CANCEL_DELETE_SHARE
+HEAR = WORKERS.report_s * c.CANCEL_HEAR_REPORTS
+
+
+def record_of(cancelled: float | None) -> records.JobRecord:
+    return records.JobRecord(submitted=EPOCH - 60, spec=spec("wk-1"), state="c", next_attempt=2, cancelled=cancelled,
+                             places=[("vm-9", 1, "0-1")])
+
+
+class Leader:
+    """One leader's picture and judgement, on its own clocks: `began` and all times are true ones."""
+
+    def __init__(self, began: float, steady0: float, skew_s: float, value: bytes) -> None:
+        self.steady0, self.skew_s = steady0, skew_s
+        self.picture = Picture(settings(), {"g4": TYPE}, 1)
+        self.care = Care(self.picture, WORKERS, SKEW_S)
+        self.began = began
+        apply_record(self.picture, "wk-1", 11, records.decode(value), self.steady(began))
+        self.care.entitled_since = self.steady(began)
+
+    def steady(self, true: float) -> float:
+        return self.steady0 + true
+
+    def gives_up(self, true: float) -> str | None:
+        for name, zone in (("vm-1", "a"), ("vm-2", "b")):  # others are heard, so this leader is not deaf
+            machine = self.picture.adopt(name, "g4", zone, False, self.steady(true), 90.0)
+            machine.state, machine.last_heard = MachineState.UP, self.steady(true)
+        found = self.care.look(self.steady(true), EPOCH + true + self.skew_s, True, True)
+        return next((why for machine, why in found.give_up if machine.name == "vm-9"), None)
+
+
+@given(changes=st.lists(st.floats(0.3, 34.0), max_size=4), standstill=st.floats(0.0, 5.0),
+       skews=st.lists(st.floats(-SKEW_S, SKEW_S), min_size=6, max_size=6),
+       steady=st.lists(st.floats(0.0, 1e6), min_size=5, max_size=5), step=st.sampled_from([0.15, 0.7, 1.0]))
+def test_a_cancelled_task_out_of_reach_is_deleted_in_time_however_often_the_leader_changes(
+        changes, standstill, skews, steady, step):
+    """Each leader ends, or stands still for ever, when the next one begins `standstill` after that.
+
+    Two changes in a cut of 60 s once let a task run 12 s past cancel_s: each leader had counted from its own start.
+    """
+    value = records.encode(record_of(EPOCH + skews[0]))
+    begins = [-5.0, *sorted(changes)]
+    deleted = math.inf
+    for number, began in enumerate(begins):
+        ends = begins[number + 1] - standstill if number + 1 < len(begins) else 200.0
+        first = max(0.0, began)
+        one = Leader(first, steady[number], skews[1 + number % 5], value)
+        at = first
+        while at < ends and deleted == math.inf:
+            if one.gives_up(at):
+                deleted = at
+            at += step
+        # What a successor writes keeps the moment for the one after it.
+        value = records.encode(pack(one.picture.jobs["wk-1"]))
+    last = begins[-1]
+    assert deleted <= max(LIMIT, last + HEAR) + 2 * step
+    if last < WORKERS.cancel_s - DELETION_S - step - 4 * SKEW_S:
+        assert deleted + DELETION_S <= WORKERS.cancel_s
+
+
+@pytest.mark.parametrize("ago,at_once", [(5.0, False), (LIMIT + 1, False), (0.8 * WORKERS.cancel_s, True),
+                                         (3 * WORKERS.cancel_s, False), (None, False)])
+def test_a_successor_hears_a_machine_first_unless_the_last_moment_is_near(ago, at_once):
+    """Most machines have long stopped their tasks, and only the record lags: after an outage of 40 s all machines of a
+    cancelled array of 100 tasks would have been deleted at once. A record without its time counts as old."""
+    one = Leader(0.0, 500.0, 0.0, records.encode(record_of(EPOCH - ago if ago is not None else None)))
+    assert (one.gives_up(0.1) is not None) == at_once
+    assert (one.gives_up(HEAR + 0.1) is not None) == (ago != 5.0)
+
+
+def test_a_leader_that_has_seen_the_job_open_counts_from_then():
+    """A transaction may be applied minutes after the time that it holds."""
+    picture = Picture(settings(), {"g4": TYPE}, 1)
+    fresh = records.JobRecord(submitted=EPOCH, spec=spec("wk-1"), next_attempt=2, places=[("vm-9", 1, "0-1")])
+    apply_record(picture, "wk-1", 10, fresh, 100.0)
+    picture.watched_at = 190.0
+    job = apply_record(picture, "wk-1", 11, record_of(EPOCH - 500), 200.0)
+    assert job is not None and job.cancelled_for(201.0, EPOCH, SKEW_S) == 11.0
+    # Also where the record was written by a version that did not keep the time.
+    other = Picture(settings(), {"g4": TYPE}, 1)
+    apply_record(other, "wk-1", 10, fresh, 100.0)
+    other.watched_at = 190.0
+    job = apply_record(other, "wk-1", 11, record_of(None), 200.0)
+    assert job is not None and job.cancelled_for(201.0, EPOCH, SKEW_S) == 11.0
+
+
+def test_a_change_put_off_for_a_write_counts_from_before_it_was_seen():
+    made, _ = leader(True, [])
+    made.picture.on_stop = lambda task: None
+    fresh = records.JobRecord(submitted=EPOCH, spec=spec("wk-1"), next_attempt=2, places=[("vm-9", 1, "0-1")])
+    made.following.take_job("wk-1", 10, fresh, 100.0)
+    job = made.picture.jobs["wk-1"]
+    job.writing, made.picture.watched_at = True, 190.0
+    made.following.take_job("wk-1", 11, record_of(None), 200.0)
+    made.picture.watched_at = 300.0  # later looks say nothing about when this was committed
+    made.batcher._release([job])
+    assert job.cancelled_for(301.0, EPOCH, SKEW_S) == 111.0
+
+
+def test_a_machine_that_the_list_calls_booting_may_hold_a_cancelled_task():
+    one = Leader(0.0, 0.0, 0.0, records.encode(record_of(EPOCH - LIMIT - 1)))
+    machine = one.picture.machines["vm-9"]
+    machine.state, machine.rented_at = MachineState.BOOTING, 0.0
+    assert one.gives_up(HEAR + 0.1) is not None
+
+
+@pytest.mark.parametrize("elsewhere", [False, True])
+def test_in_an_outage_that_all_share_a_leader_in_doubt_sees_to_cancellations_only(elsewhere):
+    made, deleted = leader(True, [("vm-1", "a", 985.0), ("vm-2", "a", 999.5)])
+    made.state = SimpleNamespace(health=lambda: Health.DOWN)
+    made.link.state_works_elsewhere = lambda now: elsewhere
+    made.following.loaded = True
+    made.me.role, made.me.valid_until = Role.DOUBTFUL, 0.0
+    made.term = made.picture.term = 3
+    told: list[str] = []
+    made.picture.on_stop = lambda task: None
+    made.stopper = SimpleNamespace(add=lambda task: told.append(task.name))  # type: ignore[assignment]
+    for ref, state in (("wk-1", "c"), ("wk-2", "o")):
+        apply_record(made.picture, ref, 11, records.JobRecord(
+            submitted=EPOCH, spec=spec(ref), state=state, next_attempt=2, cancelled=1.0 if state == "c" else None,
+            places=[("vm-2", 1, "0"), ("vm-9", 1, "1")]), 900.0)
+    made.picture.stop(made.picture.jobs["wk-2"].active[0], 0.0, 1000.0, "makes room")
+    running = [w.TaskReport(f"wk-{n}/0", 1, w.Phase.RUNNING, None) for n in (1, 2)]
+    report = w.Report(machine="vm-2", addr="", type="g4", zone="a", spot=False, session=1, seq=1, token=3,
+                      tasks=running)
+    assert made.ends_only() != elsewhere
+    halted = [command.task for command in made.on_report(report) or []]
+    if made.ends_only():
+        made._see_to_ends(1000.0)
+    assert halted == ([] if elsewhere else ["wk-1/0"])
+    assert told == ([] if elsewhere else ["wk-1/0"])
+    # One was heard and holds it all the same, one was not heard for as long as a new leader waits.
+    assert sorted(deleted) == ([] if elsewhere else ["vm-2", "vm-9"])
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -152,6 +152,8 @@
                 self.remember_end(ref, reply)
                 return reply
             record.state = JobState.CANCELLED.value
+            # Read before the commit, and so before the user is told: whoever leads later counts cancel_s from it.
+            record.cancelled = time.time()
             key = records.JOB + ref
             txn = wire.Transaction([wire.Condition(key, version)], [wire.Put(key, record)])
             try:
--- a/winglift/cloud/client.py
+++ b/winglift/cloud/client.py
@@ -41,6 +41,7 @@
         self._limits = limits
         self._nodes = nodes
         self.entitled: Callable[[], bool] = lambda: True
+        self.may_end: Callable[[], bool] = lambda: False  # in doubt, may it still delete what holds cancelled tasks?
         self._budget = Budget(limits.rps, limits.rps)
         self.set_leading(False)
 
@@ -54,11 +55,11 @@
         while self._budget.free(time.monotonic()) < 1:
             await asyncio.sleep(self._budget.wait_s(time.monotonic()) + 0.002)
 
-    async def _call(self, method: str, path: str, body: bytes | None = None) -> Reply:
+    async def _call(self, method: str, path: str, body: bytes | None = None, ends: bool = False) -> Reply:
         while not self._budget.take(time.monotonic()):
             await asyncio.sleep(self._budget.wait_s(time.monotonic()) + 0.002)
         # A node that stood still woke in this queue: what it had decided before is another leader's to decide now.
-        if body is not None and not self.entitled():
+        if body is not None and not self.entitled() and not (ends and self.may_end()):
             raise NotEntitled("not entitled to act")
         try:
             reply = await self._http.request(method, path, body, c.CLOUD_TIMEOUT_S)
@@ -87,8 +88,9 @@
             raise NoCapacity
         return self._decode(_names, reply).machines
 
-    async def delete(self, names: list[str]) -> None:
-        reply = await self._call("POST", "/hosts/delete", msgspec.json.encode(wire.Names(names)))
+    async def delete(self, names: list[str], ends: bool = False) -> None:
+        """Delete machines; `ends`: each of them for a cancelled task, which a leader in doubt may do too."""
+        reply = await self._call("POST", "/hosts/delete", msgspec.json.encode(wire.Names(names)), ends)
         if reply.status != 200:
             raise CloudError(f"cloud: {reply.status} for a deletion")
 
--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -11,6 +11,7 @@
 
 from .. import constants as c
 from ..model.entities import Machine
+from ..model.job import JobState
 from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
 from ..policy.snapshot import Rental
@@ -131,9 +132,11 @@
 
     async def _delete(self) -> None:
         while self._to_delete:
-            batch = dict(list(self._to_delete.items())[:c.DELETE_MOST])
+            # What holds a cancelled task goes first, and by itself: a leader in doubt may still delete that.
+            urgent = [n for n, m in self._to_delete.items() if holds_cancelled(m)]
+            batch = {n: self._to_delete[n] for n in (urgent or list(self._to_delete))[:c.DELETE_MOST]}
             try:
-                await self.cloud.delete(list(batch))
+                await self.cloud.delete(list(batch), ends=bool(urgent))
             except CloudError as err:
                 # Unanswered is not undone: the machines stay out of use, and the deletion is repeated.
                 log.info("deletion: %s", err)
@@ -176,3 +179,7 @@
         horizon = now - 600.0
         for name in [n for n, t in picture.deleted.items() if t < horizon]:
             del picture.deleted[name]
+
+
+def holds_cancelled(machine: Machine) -> bool:
+    return any(t.job.state is JobState.CANCELLED for t in machine.tasks.values())
--- a/winglift/controller/following.py
+++ b/winglift/controller/following.py
@@ -37,11 +37,13 @@
         """Load all records, then follow their changes. The picture is rebuilt before anything is placed."""
         while True:
             try:
+                sent = time.monotonic()
                 items, revision = await self.state.list(records.JOB)
                 now = time.monotonic()
                 for item in items:
                     self._take_record(item.key, item.version, item.value, now)
                 self._revision = revision
+                self.picture.watched_at = sent
                 if not self.loaded:
                     log.info("term %d: %d records, %d jobs open, %d machines named", self.picture.term, len(items),
                              sum(j.is_open for j in self.picture.jobs.values()), len(self.picture.machines))
@@ -56,6 +58,7 @@
 
     async def _watch(self) -> None:
         while True:
+            sent = time.monotonic()
             try:
                 changes = await self.state.changes(records.JOB, self._revision)
             except (Refused, Unknown) as err:
@@ -67,6 +70,7 @@
                 if event.put is not None:
                     self._take_record(event.put, event.version, event.value, now)
             self._revision = max(self._revision, changes.revision)
+            self.picture.watched_at = sent
             if changes.events:
                 self._wake()
             await asyncio.sleep(c.WATCH_PAUSE_S)
@@ -85,6 +89,8 @@
             # Perhaps our own write, whose answer is still under way: it is compared once that is here.
             if version > job.version and (job.pending is None or version > job.pending[0]):
                 job.pending = (version, records.encode(record))
+                if job.open_before is None:
+                    job.open_before = self.picture.watched_at
             return
         if job is None and ref not in self._seen_refs and record.state == JobState.OPEN.value:
             self._seen_refs.add(ref)
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -15,6 +15,7 @@
 from ..config.settings import Settings
 from ..model import records
 from ..model.job import JobState
+from ..model.leadership import Role
 from ..model.picture import Picture
 from ..model.reported import on_report, orders
 from ..model.task import PRESENT, TaskState
@@ -23,7 +24,7 @@
 from ..policy.plan import make_plan
 from ..policy.renting import merge_rentals
 from ..store.batcher import Batcher
-from ..store.client import StateClient
+from ..store.client import Health, StateClient
 from ..store.election import Election
 from ..wire import workers as w
 from ..wire.cloud import MachineType
@@ -50,10 +51,10 @@
         self.picture = Picture(settings, types, self.term)
         self.batcher = Batcher(state, settings.settings.state, self.picture, self.me)
         self.inventory = Inventory(cloud, self.picture, settings.settings.cloud.list_lag_s)
-        self.stopper = Stopper(self.picture, self.me)
+        self.stopper = Stopper(self.picture, self.me, self.ends_only)
         self.view = View(settings, self.picture, self.inventory, script, time.monotonic())
         self.leaving = Leaving(self.picture, self.inventory, script, settings.settings.workers)
-        self.care = Care(self.picture, settings.settings.workers)
+        self.care = Care(self.picture, settings.settings.workers, settings.settings.skew_ms / 1000)
         self.following = Following(state, self.picture, lambda when, spec: self.view.recent.append((when, spec)),
                                    lambda: self._wake.set())
         self._tasks: list[asyncio.Task] = []
@@ -107,12 +108,12 @@
             return None if report.machine in self.picture.deleted else []
         if self.picture.changed:
             self._wake.set()
-        if not self.me.entitled(now):
+        entitled = self.me.entitled(now)
+        if not entitled and not self.ends_only():
             return []
         machine = self.picture.machines[report.machine]
-        if report.token == self.term:
-            commands += orders(self.picture, machine, report, now)
-        return commands
+        due = orders(machine, report, now, ends_only=not entitled) if report.token == self.term else []
+        return commands + due if entitled else due
 
     def starts_wait(self, name: str) -> bool:
         """Are there starts that the next report's answer should carry?"""
@@ -142,6 +143,8 @@
                 pause = max(pause, took * c.CYCLE_PAUSE)
                 if took > 0.1:
                     log.debug("a cycle took %.0f ms", took * 1000)
+            elif self.loaded and self.ends_only():
+                self._see_to_ends(began)
             self._next_pass += time.monotonic() - began + pause
             await asyncio.sleep(pause)
 
@@ -157,6 +160,20 @@
             self.care.entitled_since = now
         return True
 
+    def ends_only(self) -> bool:
+        """In an outage that all nodes share nobody can follow this leader, and cancel_s runs on.
+
+        What it may still do is what a committed cancellation demands, which holds whoever leads: stop its tasks, and
+        delete machines that can't be told. If it is wrong about the outage, that costs a machine and breaks no rule.
+        """
+        return (self.me.role is Role.DOUBTFUL and self.state.health() is Health.DOWN
+                and not self.link.state_works_elsewhere(time.monotonic()))
+
+    def _see_to_ends(self, now: float) -> None:
+        self._check_jobs(now)
+        for machine, why in self.care.held_ends(now, time.time()):
+            self.inventory.delete(machine, why)
+
     def _step(self, now: float) -> None:
         picture = self.picture
         idle = now - self._last_plan >= c.IDLE_CYCLE_S
@@ -187,7 +204,8 @@
                         self.stopper.add(task)
 
     def _check_machines(self, now: float) -> None:
-        found = self.care.look(now, not self.link.peers or self.link.hears_anyone(now), self.link.hears_all(now))
+        hears_anyone = not self.link.peers or self.link.hears_anyone(now)
+        found = self.care.look(now, time.time(), hears_anyone, self.link.hears_all(now))
         if found.deaf:
             asyncio.ensure_future(self.election.resign("hears neither workers nor other nodes"))
         for mtype, zone in found.dark:
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -36,7 +37,9 @@
     failures: int = 0  # rounds of failed starts
     failed_on: dict[str, None] = field(default_factory=dict)  # machines where a task failed, the latest last
     proven: bool = False  # a task of it has completed
-    cancel_seen: float | None = None
+    cancelled: float | None = None  # time of day, from the node that committed the cancellation
+    open_at: float = -math.inf  # steady time at which the job was surely not cancelled yet
+    open_before: float | None = None  # the same, noted when a change by others was put off for a write
     gang_started: bool = False  # the present attempt has been seen running
     gang_broken: bool = False
     first_seen: float = 0.0
@@ -75,6 +78,16 @@
         """Are there tasks that neither are done nor hold a place?"""
         return self.is_open and len(self.active) + len(self.done) < self.spec.tasks
 
+    def cancelled_for(self, now: float, wall: float, skew_s: float) -> float:
+        """At the most so many seconds ago its user was told that the job is cancelled; inf: nobody can tell.
+
+        A successor knows it from the record, by the time of day: each of several leaders once counted from its own
+        start, and the last one deleted the machines 12 s too late. Whoever has seen the job open since knows better: a
+        transaction may be applied minutes after the time that it holds.
+        """
+        by_record = wall - self.cancelled + 2 * skew_s if self.cancelled is not None else math.inf
+        return min(by_record, now - self.open_at)
+
     def unfinished(self) -> int:
         return self.spec.tasks - len(self.done)
 
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import logging
+import math
 from collections.abc import Callable, Iterable
 
 from ..config.settings import Settings
@@ -34,6 +35,7 @@
         self.run_ratio: dict[str, float] = {}  # job class: real run time by the estimate
         self.known_images: dict[str, dict[str, float]] = {}  # what the leader before knew of machines
         self.boots = Boots()
+        self.watched_at = -math.inf  # steady time: what others committed before it is known here
         self.changed = True
         self.superseded = False  # a record shows that another leader has decided
         self.on_stop: Callable[[Task], None] = lambda task: None
--- a/winglift/model/recorded.py
+++ b/winglift/model/recorded.py
@@ -22,6 +22,7 @@
     if job is not None and version <= job.version:
         return job
     loaded = records.unpack(record)
+    known = job is not None
     if job is None:
         if loaded.state is not JobState.OPEN and not loaded.places:
             return None
@@ -63,7 +64,10 @@
     if loaded.state is not JobState.OPEN and job.is_open:
         job.move(_RECORDED_END[loaded.state])
         if job.state is JobState.CANCELLED:
-            job.cancel_seen = now
+            job.cancelled = loaded.cancelled
+            if known:
+                job.open_at = picture.watched_at if job.open_before is None else job.open_before
+    job.open_before = None
     if job.state is JobState.CANCELLED:
         picture.stop_all(job, now, "cancelled")
     picture.changed = True
--- a/winglift/model/records.py
+++ b/winglift/model/records.py
@@ -29,8 +29,13 @@
 
 class JobRecord(msgspec.Struct, omit_defaults=True, rename={
     "spec": "s", "submitted": "t", "state": "o", "next_attempt": "a", "low": "l", "bits": "b", "places": "p",
+    "cancelled": "c",
 }):
-    """`places` groups tasks by machine and attempt: [machine, attempt, "0-3,7"]."""
+    """`places` groups tasks by machine and attempt: [machine, attempt, "0-3,7"].
+
+    `submitted` and `cancelled` are times of day by the node that committed them, within `skew_ms` of the true one. A
+    cancelled record without its time, from a version that did not write it, counts as cancelled long ago.
+    """
 
     submitted: float
     spec: Submission
@@ -39,6 +44,7 @@
     low: int = 0
     bits: str = ""
     places: list[tuple[str, int, str]] = []
+    cancelled: float | None = None
 
 
 _decoder = msgspec.json.Decoder(JobRecord)
@@ -100,6 +106,7 @@
     next_attempt: int
     done: DoneSet
     places: dict[int, tuple[str, int]]  # task number: machine, attempt
+    cancelled: float | None = None
 
 
 def fresh(spec: Submission, submitted: float) -> JobRecord:
@@ -125,7 +132,8 @@
     try:
         places = {n: (name, attempt) for name, attempt, text in record.places for n in unpack_ranges(text)}
         done = unpack_done(record.spec.tasks, record.low, record.bits)
-        return Loaded(record.spec, record.submitted, JobState(record.state), record.next_attempt, done, places)
+        return Loaded(record.spec, record.submitted, JobState(record.state), record.next_attempt, done, places,
+                      record.cancelled)
     except ValueError as err:
         raise BadRecord(str(err)) from None
 
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -93,10 +93,15 @@
     return job.recorded.get(key[1]) != (machine.name, attempt)
 
 
-def orders(picture: Picture, machine: Machine, report: w.Report, now: float) -> list[w.Command]:
-    """Starts and stops due on a machine. Starts go only here, in a report's response (invariant 3)."""
+def orders(machine: Machine, report: w.Report, now: float, ends_only: bool = False) -> list[w.Command]:
+    """Starts and stops due on a machine; with `ends_only` just the stops of cancelled tasks.
+
+    Starts go only here, in a report's response (invariant 3).
+    """
     commands: list[w.Command] = []
     for task in list(machine.tasks.values()):
+        if ends_only and task.job.state is not JobState.CANCELLED:
+            continue
         if task.stopping:
             if task.state in PRESENT and (task.state is not TaskState.SAVING or task.stop_grace == 0):
                 commands.append(w.halt(task.name, task.attempt, task.stop_grace or 0))
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -55,6 +55,7 @@
         self.controller: Controller | None = None
         self.election = Election(self.state, settings.node, self._on_change)
         self.cloud.entitled = lambda: self.election.me.entitled(time.monotonic())
+        self.cloud.may_end = lambda: self.controller is not None and self.controller.ends_only()
         self.link = Link(settings.node, settings.seeds, self._mine, self._on_relay, self._on_job, self._on_peer,
                          self._on_gone)
         self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -12,6 +12,7 @@
 from ..config.settings import Workers
 from ..model.boots import Place
 from ..model.entities import Machine
+from ..model.job import JobState
 from ..model.machine import MachineState
 from ..model.picture import Picture
 
@@ -26,17 +27,18 @@
 
 
 class Care:
-    def __init__(self, picture: Picture, workers: Workers) -> None:
+    def __init__(self, picture: Picture, workers: Workers, skew_s: float) -> None:
         self.picture = picture
         self.workers = workers
+        self.skew_s = skew_s  # how far a node's time of day may be from the true one
         self.entitled_since: float | None = None  # since when this node leads without a doubt or a standstill
         self._cut_until: dict[str, float] = {}
 
-    def look(self, now: float, hears_anyone: bool, hears_all: bool) -> Verdict:
+    def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
         """Which machines are to be deleted now.
 
-        `hears_anyone` and `hears_all`: is any, is every other node in hearing (one that is not may be keeping workers'
-        leases alive)?
+        `now` is steady, `wall` the time of day. `hears_anyone` and `hears_all`: is any, is every other node in hearing
+        (one that is not may be keeping workers' leases alive)?
         """
         machines = list(self.picture.machines.values())
         # Machines of an earlier term count too: a new leader that hears none of them is cut off itself.
@@ -61,23 +63,26 @@
         patience = {zone: self.workers.lease_s
                     * (c.SILENT_ZONE_SHARE if now < self._cut_until.get(zone, 0.0) else share)
                     for zone in {m.zone for m in machines}}
-        return Verdict(give_up=list(self._unfit_of(machines, patience, now)),
+        return Verdict(give_up=list(self._unfit_of(machines, patience, now, wall)),
                        dark=self.picture.boots.look(machines, now))
 
     def _unfit_of(self, machines: list[Machine], patience: dict[str, float],
-                  now: float) -> Iterable[tuple[Machine, str]]:
+                  now: float, wall: float) -> Iterable[tuple[Machine, str]]:
         for machine in machines:
             if machine.state is not MachineState.DELETING:
-                why = self._unfit(machine, patience[machine.zone], now)
+                why = self._unfit(machine, patience[machine.zone], now, wall)
                 if why is not None:
                     yield machine, why
 
-    def _unfit(self, machine: Machine, patience_s: float, now: float) -> str | None:
+    def _unfit(self, machine: Machine, patience_s: float, now: float, wall: float) -> str | None:
         """Why a machine is to be deleted now, or None."""
-        workers = self.workers
         # After an outage or a standstill of this node, silence counts anew: once 15 machines that others had kept
         # alive through an outage of 37 s were deleted in the moment it ended.
         quiet = now - max(heard_at(machine), self.entitled_since or 0.0)
+        # Before all else: a machine that the lagging list calls booting may be running tasks.
+        held = self.held_too_long(machine, now, wall)
+        if held is not None:
+            return held
         if machine.state is MachineState.BOOTING:
             if now - machine.rented_at > self.picture.boots.patience_s(machine, self.picture.types.values()):
                 return "does not come up"
@@ -86,16 +91,35 @@
             return "taken by the cloud"
         if machine.state is MachineState.DRAINING and not machine.tasks and machine.drain_reason != "notice":
             return machine.drain_reason
-        # A machine that can't be told to stop a cancelled task is deleted while cancel_s still allows it.
-        limit = workers.cancel_s * c.CANCEL_DELETE_SHARE
-        for task in machine.tasks.values():
-            seen = task.job.cancel_seen
-            if seen is not None and now - seen > limit:
-                return f"holds the cancelled {task.name}"
         if quiet > patience_s:
             return f"silent for {quiet:.1f} s"
         return None
 
+    def held_ends(self, now: float, wall: float) -> list[tuple[Machine, str]]:
+        """The machines to be deleted for a cancelled task alone: what a leader in doubt may still see to."""
+        return [(machine, why) for machine in self.picture.machines.values()
+                if machine.state is not MachineState.DELETING
+                and (why := self.held_too_long(machine, now, wall)) is not None]
+
+    def held_too_long(self, machine: Machine, now: float, wall: float) -> str | None:
+        """A machine that can't be told to stop a cancelled task is deleted while `cancel_s` still allows it."""
+        cancel_s = self.workers.cancel_s
+        # A new leader, or one that stood still, first waits for what the machine has to say: most have long stopped
+        # their tasks, and only the record lags. Not so while the last moment is near that helps.
+        since = self.entitled_since or 0.0
+        waits = ((machine.last_heard is None or machine.last_heard < since)
+                 and now - max(since, machine.known_since) < c.CANCEL_HEAR_REPORTS * self.workers.report_s)
+        for task in machine.tasks.values():
+            if task.job.state is not JobState.CANCELLED:
+                continue
+            age = task.job.cancelled_for(now, wall, self.skew_s)
+            if age <= cancel_s * c.CANCEL_DELETE_SHARE:
+                continue
+            if waits and not cancel_s * c.CANCEL_LAST_SHARE < age < cancel_s * c.CANCEL_OVER_SHARE:
+                continue
+            return f"holds the cancelled {task.name}"
+        return None
+
 
 def heard_at(machine: Machine) -> float:
     """When a machine was last heard under this term, or else when this leader began to wait for it."""
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -30,6 +30,7 @@
     return records.JobRecord(
         submitted=job.submitted, spec=job.spec, state=job.state.value, next_attempt=job.next_attempt,
         low=low, bits=bits, places=records.pack_places(job.active),
+        cancelled=job.cancelled,
     )
 
 
--- a/winglift/workers/commands.py
+++ b/winglift/workers/commands.py
@@ -5,11 +5,13 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 import msgspec
 
 from .. import constants as c
 from ..model.entities import Machine, Task
+from ..model.job import JobState
 from ..model.leadership import Leadership
 from ..model.picture import Picture
 from ..model.reported import on_report
@@ -24,9 +26,10 @@
 class Stopper:
     """Tells workers to stop tasks at once; what gets lost is repeated by the next report's response."""
 
-    def __init__(self, picture: Picture, me: Leadership) -> None:
+    def __init__(self, picture: Picture, me: Leadership, ends_only: Callable[[], bool] = lambda: False) -> None:
         self.picture = picture
         self.me = me
+        self._ends_only = ends_only  # in doubt, may it still stop what is cancelled?
         self._queue: dict[str, list[Task]] = {}
         self._tasks: set[asyncio.Task] = set()
         picture.on_stop = self.add
@@ -46,8 +49,12 @@
     async def _send(self, machine: Machine) -> None:
         await asyncio.sleep(0)  # gather what is stopped in the same cycle
         tasks = self._queue.pop(machine.name, [])
-        if not self.me.entitled(time.monotonic()) or not machine.addr or not machine.session:
+        if not machine.addr or not machine.session:
             return
+        if not self.me.entitled(time.monotonic()):
+            if not self._ends_only():
+                return
+            tasks = [t for t in tasks if t.job.state is JobState.CANCELLED]
         states = PRESENT | {TaskState.SENT, TaskState.UNKNOWN}
         commands = [w.halt(t.name, t.attempt, t.stop_grace or 0) for t in tasks if t.state in states]
         if not commands:
