Silence judged by what is known: questions, cut zones without a node, successors that count on

Deletion stays the proof. - The leader tells the others who is silent and since when (beside the images, read by earlier versions as before), and its successor counts on in such a zone, after the time in which a worker finds a new node. - A lone silent machine is asked directly after two reports. Without an answer, and with parts of services or gangs on it, it is given up after three reports instead of a lease. - Nothing is rented in a cut zone: with its machines out of reach it looked like the emptiest one. - A gang's patience with renting runs from the end of its last attempt, not from when it was first seen.

--- /dev/null
+++ b/tests/test_care.py
@@ -0,0 +1,157 @@
+"""When a machine is given up: what is known decides, not patience alone."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from helpers import TYPE, settings, spec
+from hypothesis import given
+from hypothesis import strategies as st
+
+from winglift import constants as c
+from winglift.model import records
+from winglift.model.leadership import Leadership, Role
+from winglift.model.machine import MachineState
+from winglift.model.picture import Picture
+from winglift.model.recorded import apply_record
+from winglift.model.teams import Ledger
+from winglift.net.client import NotSent, Reply
+from winglift.policy.care import Care
+from winglift.policy.renting import Renting
+from winglift.policy.snapshot import Need, Plan, Snapshot
+from winglift.wire.users import Kind
+from winglift.workers import probes
+
+WORKERS = settings().settings.workers
+LEASE_S, REPORT_S = WORKERS.lease_s, WORKERS.report_s
+
+
+def fleet(holds: dict[str, Kind], attended: str = "a") -> tuple[Picture, Care]:
+    """Machines vm-a0 to vm-a5 and vm-b0 to vm-b5, heard at time 0, some holding a task of a kind; led for long."""
+    picture = Picture(settings(), {"g4": TYPE}, 1)
+    for zone in "ab":
+        for i in range(6):
+            machine = picture.adopt(f"vm-{zone}{i}", "g4", zone, False, -500.0, 0.0)
+            machine.state, machine.last_heard = MachineState.UP, 0.0
+    for number, (name, kind) in enumerate(holds.items()):
+        record = records.JobRecord(submitted=0.0, spec=spec(f"wk-{number}", kind=kind, tasks=1), next_attempt=2,
+                                   places=[(name, 1, "0")])
+        apply_record(picture, f"wk-{number}", 10 + number, record, -400.0)
+    care = Care(picture, WORKERS, 0.0, attended)
+    care.entitled_since = -300.0
+    return picture, care
+
+
+def given_up(picture: Picture, care: Care, heard: str, until: float, hears_all: bool = True) -> dict[str, float]:
+    """When which machine is given up, if only those whose name begins with one of `heard` go on reporting."""
+    found: dict[str, float] = {}
+    now = 0.0
+    while now < until:
+        now += 0.5
+        for machine in picture.machines.values():
+            if machine.name.startswith(tuple(heard.split())):
+                machine.last_heard = now
+        for machine, _ in care.look(now, 1e9 + now, True, hears_all).give_up:
+            found.setdefault(machine.name, now)
+    return found
+
+
+def test_in_a_cut_zone_without_a_node_replicas_move_once_they_are_surely_dead():
+    picture, care = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY})
+    found = given_up(picture, care, "vm-a", 60.0)
+    assert LEASE_S < found["vm-b0"] <= LEASE_S + 1.5
+    # Dead as well, but when the cut ends its machine and images are there.
+    assert found["vm-b1"] > 2 * LEASE_S and set(found) == {f"vm-b{i}" for i in range(6)}
+    assert care.cut == {"b"}
+
+
+@pytest.mark.parametrize("attended,hears_all", [("ab", True), ("a", False)])
+def test_a_cut_zone_is_spared_while_a_node_may_be_keeping_it_alive(attended, hears_all):
+    picture, care = fleet({"vm-b0": Kind.SERVICE}, attended)
+    assert given_up(picture, care, "vm-a", 5 * LEASE_S, hears_all) == {}
+
+
+def test_a_successor_goes_on_counting_the_silence_of_a_zone_that_is_cut():
+    """It once waited a whole lease anew: the replicas had been dead for that long when it began."""
+    picture, care = fleet({"vm-b0": Kind.SERVICE})
+    given_up(picture, care, "vm-a", LEASE_S - 1)
+    told = {m.name: LEASE_S - 1 - (m.last_heard or 0.0) for m in care.quiet(LEASE_S - 1)}
+    assert set(told) == {f"vm-b{i}" for i in range(6)}
+    after = Picture(settings(), {"g4": TYPE}, 2)
+    after.silent_since = {name: LEASE_S - 1 - seconds for name, seconds in told.items()}
+    for ref, job in picture.jobs.items():
+        record = records.JobRecord(submitted=0.0, spec=job.spec, next_attempt=2, places=[("vm-b0", 1, "0")])
+        apply_record(after, ref, job.version, record, LEASE_S)
+    for name in picture.machines:
+        after.adopt(name, "g4", name[3], False, LEASE_S, 0.0)
+    later = Care(after, WORKERS, 0.0, "a")
+    later.entitled_since = LEASE_S
+    for name in ("vm-a0", "vm-a1", "vm-a2", "vm-a3", "vm-a4", "vm-a5"):
+        after.machines[name].last_heard = LEASE_S + c.FIND_NODE_S
+    # A worker on its way to the new leader is waited for; then what the leader before had heard last counts.
+    assert not later.look(LEASE_S + c.FIND_NODE_S - 1, 1e9, True, True).give_up
+    found = later.look(LEASE_S + c.FIND_NODE_S + 0.1, 1e9, True, True).give_up
+    assert [m.name for m, _ in found] == ["vm-b0"]
+
+
+@given(st.integers(0, 40))
+def test_a_lone_silent_machine_is_asked_and_given_up_early_only_if_it_does_not_answer(heard_for):
+    picture, care = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY, "vm-b2": Kind.GANG})
+    last = heard_for / 10
+    for machine in picture.machines.values():
+        machine.last_heard = last
+    others = "vm-a vm-b3 vm-b4 vm-b5"
+    assert not given_up(picture, care, others, last + c.PROBE_REPORTS * REPORT_S)
+    now = last + c.PROBE_REPORTS * REPORT_S + 0.6
+    for machine in picture.machines.values():
+        if machine.name.startswith(tuple(others.split())):
+            machine.last_heard = now
+    asked = care.look(now, 1e9, True, True).ask
+    assert {m.name for m in asked} == {"vm-b0", "vm-b1", "vm-b2"}
+    picture.machines["vm-b0"].unanswered = picture.machines["vm-b1"].unanswered = now
+    picture.machines["vm-b2"].last_heard = now  # it has answered
+    soon = last + c.SILENT_REPORTS * REPORT_S + 0.1
+    assert [m.name for m, _ in care.look(soon, 1e9, True, True).give_up] == ["vm-b0"]
+    # While a node is out of hearing it may be the one that hears the machine.
+    assert not care.look(soon, 1e9, True, False).give_up
+
+
+@pytest.mark.parametrize("answers,stands_still", [(True, False), (False, False), (False, True)])
+def test_a_question_without_an_answer_is_noted_unless_this_node_stood_still(monkeypatch, answers, stands_still):
+    picture, _ = fleet({})
+    machine = picture.machines["vm-b0"]
+    machine.addr = "127.0.0.1:1"
+    ahead = [0.0]
+    steady = probes.time.monotonic
+    monkeypatch.setattr(probes.time, "monotonic", lambda: steady() + ahead[0])
+
+    async def request(self, method, path, body=None, timeout=0.0):
+        ahead[0] += 30.0 if stands_still else 0.0
+        if not answers:
+            raise NotSent("refused")
+        return Reply(200, b'{"rig":"vm-b0","endpoint":"127.0.0.1:1","rigType":"g4","hall":"b","loaner":false,"shift":1,'
+                          b'"tick":7,"baton":1,"recallS":null,"pieces":[]}')
+    monkeypatch.setattr(probes.Client, "request", request)
+
+    async def scenario() -> None:
+        prober = probes.Prober(picture, Leadership(role=Role.LEADER, term=1, valid_until=1e12))
+        prober.ask([machine])
+        prober.ask([machine])
+        assert len(prober._asking) == 1
+        while prober._asking:
+            await asyncio.sleep(0)
+    asyncio.run(scenario())
+    assert (machine.unanswered > 0) == (not answers and not stands_still)
+    assert (machine.seq == 7) == answers
+
+
+def test_nothing_is_rented_in_a_zone_that_is_cut_off():
+    """With its machines out of reach it looked like the emptiest zone."""
+    def zones(cut: frozenset[str]) -> set[str]:
+        snap = Snapshot(0.0, [], [], Ledger({}), {"g4": TYPE}, set(), cut=cut)
+        renting = Renting(snap, Plan(), [])
+        rooms = [renting.rent(Need("wk-1", spec(), [0], 1e9, 1.0, {}), {}) for _ in range(4)]
+        return {r.zone for r in rooms if r is not None}
+    assert zones(frozenset()) == {"a", "b"} and zones(frozenset("a")) == {"b"}
+    assert zones(frozenset("ab")) == {"a", "b"}
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -13,6 +13,7 @@
 from winglift.model.leadership import Leadership, Role
 from winglift.model.machine import MachineState
 from winglift.node import Node
+from winglift.wire import back
 
 
 class FakeElection:
@@ -27,8 +28,8 @@
 def leader(hears_peers: bool, machines: list[tuple[str, str, float | None]]):
     """A leader at time 1000 that knows machines by name, zone and when they were last heard."""
     deleted: list[str] = []
-    link = SimpleNamespace(images={}, peers={"node-1": None}, hears_anyone=lambda now: hears_peers,
-                           hears_all=lambda now: hears_peers)
+    link = SimpleNamespace(fleet=back.Fleet({}, {}), fleet_at=0.0, peers={"node-1": None},
+                           hears_anyone=lambda now: hears_peers, hears_all=lambda now: hears_peers)
     made = Controller(settings(), None, None, FakeElection(), {"g4": TYPE}, link, Script())  # type: ignore[arg-type]
     made.inventory.delete = lambda machine, why: deleted.append(machine.name)  # type: ignore[method-assign]
     for name, zone, heard in machines:
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -41,7 +41,7 @@
     def __init__(self, began: float, steady0: float, skew_s: float, value: bytes) -> None:
         self.steady0, self.skew_s = steady0, skew_s
         self.picture = Picture(settings(), {"g4": TYPE}, 1)
-        self.care = Care(self.picture, WORKERS, SKEW_S)
+        self.care = Care(self.picture, WORKERS, SKEW_S, "ab")
         self.began = began
         apply_record(self.picture, "wk-1", 11, records.decode(value), self.steady(began))
         self.care.entitled_since = self.steady(began)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -71,14 +71,20 @@
     assert back.parse_job(data[back.HEADER.size:][:header.length]) == note
 
 
-@given(st.dictionaries(st.text(max_size=9), st.dictionaries(st.text(max_size=9), st.floats(0, 100, width=32))))
-def test_image_frames_survive(images):
-    assert back.parse_images(back.pack_images(images)) == images
+SIZES = st.dictionaries(st.text(max_size=9), st.floats(0, 100, width=32))
+
+
+@given(st.dictionaries(st.text(max_size=9), SIZES), SIZES)
+def test_what_is_told_of_the_fleet_survives(images, silent):
+    """Also as an earlier version told it, which knew nothing of silence."""
+    before = back.pack_fleet(back.Fleet(images, {}))[:-2]
+    assert back.parse_fleet(before) == back.Fleet(images, {})
+    assert back.parse_fleet(back.pack_fleet(back.Fleet(images, silent))) == back.Fleet(images, silent)
 
 
 @given(st.binary(max_size=40))
 def test_noise_on_the_back_link_is_a_bad_frame(data):
-    for parse in (back.parse_header, back.parse_state, back.parse_job, back.parse_answer, back.parse_images):
+    for parse in (back.parse_header, back.parse_state, back.parse_job, back.parse_answer, back.parse_fleet):
         try:
             parse(data)
         except back.BadFrame:
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -49,7 +49,8 @@
         self._on_job = on_job
         self._on_state = on_state
         self._on_gone = on_gone
-        self.images: dict[str, dict[str, float]] = {}  # what a leader last told about its machines
+        self.fleet = back.Fleet({}, {})  # what a leader last told about its machines,
+        self.fleet_at = 0.0  # and when
         self._request = 0
         self._keepers: list[asyncio.Task] = []
 
@@ -92,8 +93,8 @@
                     self._heard(back.parse_state(body))
                 elif header.type is back.FrameType.JOB:
                     self._on_job(back.parse_job(body))
-                elif header.type is back.FrameType.IMAGES:
-                    self.images = back.parse_images(body)
+                elif header.type is back.FrameType.FLEET:
+                    self.fleet, self.fleet_at = back.parse_fleet(body), time.monotonic()
                 elif header.type is back.FrameType.RELAY:
                     try:
                         status, answer = self._on_relay(body)
@@ -216,12 +217,12 @@
         if peer is not None:
             self._tell(peer, back.FrameType.JOB, back.pack_job(note))
 
-    def tell_images(self, images: dict[str, dict[str, float]]) -> None:
-        """Workers don't report their images: what the leader has learnt would be lost with it."""
-        self.images = images
-        body = back.pack_images(images)
+    def tell_fleet(self, fleet: back.Fleet) -> None:
+        """Workers don't report their images, and a silent one nothing: what the leader knows would be lost with it."""
+        self.fleet, self.fleet_at = fleet, time.monotonic()
+        body = back.pack_fleet(fleet)
         for peer in self.peers.values():
-            self._tell(peer, back.FrameType.IMAGES, body)
+            self._tell(peer, back.FrameType.FLEET, body)
 
     @staticmethod
     def _tell(peer: Peer, kind: back.FrameType, body: bytes) -> None:
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -63,6 +63,13 @@
 # (and those that died are listed as failed after some 30 s)
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
 INHERITED_TRUST_S = 5.0  # s in which a machine that runs by the list finds a new leader; later it promises no room
+SILENT_REPORTS = 3.0  # of report_s; after this much silence a lone machine that does not answer either is deleted, if
+# parts of services or gangs are on it: a hang or a loss, since a worker on its way to another node would answer
+PROBE_REPORTS = 2.0  # of report_s; after this much silence a machine is asked directly
+PROBE_TIMEOUT_S = 1.5  # s for its answer; a sound machine answers in milliseconds
+PROBES_AT_ONCE = 32  # machines asked at a time: a zone's worth of hanging connections must not eat the sockets
+LEASE_OVER_S = 0.5  # s past lease_s, for reports on their way, until the tasks of a silent machine are surely dead
+FIND_NODE_S = 6.0  # s in which a worker whose node is gone has found another: 1 s, one node that does not answer, 1 s
 TAKEN_SILENT_S = 1.5  # s of silence after a notice ran out until the machine counts as taken
 CANCEL_DELETE_SHARE = 0.55  # of cancel_s; then a machine still holding a cancelled task is deleted
 CANCEL_HEAR_REPORTS = 2.0  # of report_s; so long a new leader waits to hear such a machine before that
@@ -131,7 +138,7 @@
 BACK_RETRY_S = 0.5  # s between two attempts
 PEER_STEADY_S = 4.0  # s a node must have been heard of before workers are sent to it
 BACK_AGAIN_S = 0.1  # s before the first new attempt after the other side closed the connection
-IMAGES_EVERY_S = 3.0  # s between two words of the leader about the images of its machines
+FLEET_EVERY_S = 3.0  # s between two words of the leader about its machines: their images, who is silent
 BACK_STATE_S = 0.5  # s between two state frames
 PEER_FRESH_S = 1.8  # s; three state frames missed make a peer's word stale
 RELAY_STICKY_S = 20.0  # s; a worker that could not reach the leader is relayed this long before a new try
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -20,16 +20,18 @@
 from ..model.reported import on_report, orders
 from ..model.task import PRESENT, TaskState
 from ..policy import snapshot as policy
-from ..policy.care import Care
+from ..policy.care import Care, heard_at
 from ..policy.plan import make_plan
 from ..policy.renting import merge_rentals
 from ..store.batcher import Batcher
 from ..store.client import Health, StateClient
 from ..store.election import Election
+from ..wire import back
 from ..wire import workers as w
 from ..wire.cloud import MachineType
 from ..wire.users import Kind
 from ..workers.commands import Stopper
+from ..workers.probes import Prober
 from .following import Following
 from .leaving import Leaving
 from .view import View
@@ -52,17 +54,20 @@
         self.batcher = Batcher(state, settings.settings.state, self.picture, self.me)
         self.inventory = Inventory(cloud, self.picture, settings.settings.cloud.list_lag_s)
         self.stopper = Stopper(self.picture, self.me, self.ends_only)
+        self.prober = Prober(self.picture, self.me)
         self.view = View(settings, self.picture, self.inventory, script, time.monotonic())
         self.leaving = Leaving(self.picture, self.inventory, script, settings.settings.workers)
-        self.care = Care(self.picture, settings.settings.workers, settings.settings.skew_ms / 1000)
+        self.care = Care(self.picture, settings.settings.workers, settings.settings.skew_ms / 1000,
+                         {settings.zone, *(seed.zone for seed in settings.seeds)})
         self.following = Following(state, self.picture, lambda when, spec: self.view.recent.append((when, spec)),
                                    lambda: self._wake.set())
         self._tasks: list[asyncio.Task] = []
         self._wake = asyncio.Event()
         self._last_plan = 0.0
-        self._next_images = 0.0
+        self._next_word = 0.0  # when the other nodes are told of the fleet again
         self._next_pass = math.inf  # when the cycle's next pass is due at the latest
-        self.picture.known_images = dict(link.images)
+        self.picture.known_images = dict(link.fleet.images)
+        self.picture.silent_since = {name: link.fleet_at - s for name, s in link.fleet.silent.items()}
 
     def start(self) -> None:
         self._tasks = [asyncio.ensure_future(self._guard(job)) for job in
@@ -74,6 +79,7 @@
         self.inventory.stop()
         self.batcher.stop()
         self.stopper.stop()
+        self.prober.stop()
 
     async def _guard(self, job) -> None:  # type: ignore[no-untyped-def]
         """A fault in one pass must not end the leader's work."""
@@ -184,12 +190,13 @@
             # Reserves, returns and moves can wait a second; only waiting tasks are planned for at every change.
             if idle or any(job.has_waiting for job in picture.jobs.values()):
                 self._last_plan = now
-                self._apply(make_plan(self.view.snapshot(now, self.leaving.may_move(now))), now)
+                self._apply(make_plan(self.view.snapshot(now, self.leaving.may_move(now), self.care.cut)), now)
             self.leaving.drain(now)
         self.batcher.flush()
-        if now >= self._next_images:
-            self._next_images = now + c.IMAGES_EVERY_S
-            self.link.tell_images({m.name: dict(m.images) for m in picture.machines.values() if m.images})
+        if now >= self._next_word:
+            self._next_word = now + c.FLEET_EVERY_S
+            self.link.tell_fleet(back.Fleet({m.name: dict(m.images) for m in picture.machines.values() if m.images},
+                                            {m.name: now - heard_at(m) for m in self.care.quiet(now)}))
 
     def _check_jobs(self, now: float) -> None:
         for job in list(self.picture.jobs.values()):
@@ -212,6 +219,7 @@
             log.info("new machines of %s in %s stay dark: others are rented elsewhere", mtype, zone)
         for machine, why in found.give_up:
             self.inventory.delete(machine, why)
+        self.prober.ask(found.ask)
 
     # -- commit and act ------------------------------------------------------------------------
 
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -30,7 +30,8 @@
         self.began = began
         self.recent: deque[tuple[float, Submission]] = deque(maxlen=c.RECENT_ARRIVALS)
 
-    def snapshot(self, now: float, may_move: bool = True) -> policy.Snapshot:
+    def snapshot(self, now: float, may_move: bool = True,
+                 cut: frozenset[str] = frozenset()) -> policy.Snapshot:
         picture, wall = self.picture, time.time()
         needs = []
         team_open: dict[str, list[Job]] = {}
@@ -68,7 +69,7 @@
             stopping_gpus=stopping_gpus, stopping_cpus=stopping_cpus,
             # What an earlier leader rented shows up in the list only after its lag.
             slack_pad=self.script.number("slack_pad"),
-            may_move=may_move,
+            may_move=may_move, cut=cut,
             may_rent=self.inventory.listed_once and now - self.began > lag * c.GRACE_AFTER_TAKEOVER,
         )
 
@@ -104,7 +105,7 @@
         run_s = self.picture.estimate_s(job) * c.ESTIMATE_PAD
         run_s = self.script.ask("estimate_s", run_s, spec.job_class, spec.estimate_s, run_s)
         due = sub_deadline(job.submitted, spec.due_s, run_s)
-        may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.first_seen, self._boot_s())
+        may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s())
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
                            frozenset(job.failed_on), mistaken)
 
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -42,7 +42,7 @@
     open_before: float | None = None  # the same, noted when a change by others was put off for a write
     gang_started: bool = False  # the present attempt has been seen running
     gang_broken: bool = False
-    first_seen: float = 0.0
+    waits_since: float = 0.0  # when it was first seen, or its last attempt ended
 
     @property
     def kind(self) -> Kind:
@@ -179,6 +179,7 @@
     session: int = 0
     seq: int = -1
     last_heard: float | None = None
+    unanswered: float = -math.inf  # when a question was sent to it that it did not answer
     taken_at: float | None = None  # when a notice runs out
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
     strangers: dict[tuple[str, int], int] = field(default_factory=dict)  # on it, in no record: attempt
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -34,6 +34,7 @@
         self.ledger = Ledger({t.name: t for t in settings.settings.teams})
         self.run_ratio: dict[str, float] = {}  # job class: real run time by the estimate
         self.known_images: dict[str, dict[str, float]] = {}  # what the leader before knew of machines
+        self.silent_since: dict[str, float] = {}  # the same: when machines were last heard that had fallen silent
         self.boots = Boots()
         self.watched_at = -math.inf  # steady time: what others committed before it is known here
         self.changed = True
@@ -64,6 +65,7 @@
             task.machine.idle_since = now
         if not job.active:
             job.gang_started = job.gang_broken = False
+            job.waits_since = now
         if job.recorded.get(task.index) == (task.machine.name, task.attempt):
             job.mark(TIDY)
         self.changed = True
@@ -150,7 +152,8 @@
         machine = self.machines.get(name)
         rented = now - (age_s if age_s is not None else 0.0)
         if machine is None:
-            machine = Machine(name, None, type_name, zone, spot, MachineState.INHERITED, now, rented)
+            machine = Machine(name, None, type_name, zone, spot, MachineState.INHERITED,
+                              self.silent_since.get(name, now), rented)
             self.machines[name] = machine
         if not machine.type_name:
             machine.type_name, machine.zone, machine.spot, machine.rented_at = type_name, zone, spot, rented
--- a/winglift/model/recorded.py
+++ b/winglift/model/recorded.py
@@ -26,7 +26,7 @@
     if job is None:
         if loaded.state is not JobState.OPEN and not loaded.places:
             return None
-        job = Job(ref, loaded.spec, loaded.submitted, done=loaded.done, first_seen=now)
+        job = Job(ref, loaded.spec, loaded.submitted, done=loaded.done, waits_since=now)
         picture.jobs[ref] = job
         spec = job.spec
         log.debug("new %s: %s %s of %s, %d tasks of %g GPUs, priority %s, due in %s", ref, spec.job_class,
@@ -78,7 +78,8 @@
     """A place that a record names may be taken: it counts, and it is not started elsewhere (invariant 2)."""
     machine = picture.machines.get(name)
     if machine is None:
-        machine = Machine(name, None, "", "", False, MachineState.INHERITED, now, now)
+        known_since = picture.silent_since.get(name, now)
+        machine = Machine(name, None, "", "", False, MachineState.INHERITED, known_since, now)
         picture.machines[name] = machine
     picture.hold(Task(job, index, attempt, machine, TaskState.UNKNOWN, now))
 
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -15,6 +15,7 @@
 from ..model.job import JobState
 from ..model.machine import MachineState
 from ..model.picture import Picture
+from ..wire.users import Kind
 
 
 @dataclass
@@ -24,14 +25,17 @@
     deaf: bool = False  # hardly a machine is heard: perhaps it is this node that is cut off
     give_up: list[tuple[Machine, str]] = field(default_factory=list)  # to be deleted, and why
     dark: set[Place] = field(default_factory=set)  # type and zone whose new machines stay dark from now on
+    ask: list[Machine] = field(default_factory=list)  # to be asked directly whether they are still there
 
 
 class Care:
-    def __init__(self, picture: Picture, workers: Workers, skew_s: float) -> None:
+    def __init__(self, picture: Picture, workers: Workers, skew_s: float, attended: Iterable[str]) -> None:
         self.picture = picture
         self.workers = workers
         self.skew_s = skew_s  # how far a node's time of day may be from the true one
         self.entitled_since: float | None = None  # since when this node leads without a doubt or a standstill
+        self.attended = frozenset(attended)  # zones that have a node
+        self.cut: frozenset[str] = frozenset()  # zones most of whose machines are silent now
         self._cut_until: dict[str, float] = {}
 
     def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
@@ -54,31 +58,58 @@
                     silent[machine.zone] = silent.get(machine.zone, 0) + 1
         if sum(up.values()) >= 2 and now - last > c.LEADER_DEAF_S and not hears_anyone:
             return Verdict(deaf=True)
-        for zone, count in silent.items():
-            if count > max(1.0, c.ZONE_SILENT_PART * up[zone]):
-                # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
-                # nine machines at a time.
-                self._cut_until[zone] = now + c.CUT_MEMORY_S
-        share = c.SILENT_SHARE if hears_all else c.SILENT_PEER_SHARE
-        patience = {zone: self.workers.lease_s
-                    * (c.SILENT_ZONE_SHARE if now < self._cut_until.get(zone, 0.0) else share)
-                    for zone in {m.zone for m in machines}}
-        return Verdict(give_up=list(self._unfit_of(machines, patience, now, wall)),
-                       dark=self.picture.boots.look(machines, now))
-
-    def _unfit_of(self, machines: list[Machine], patience: dict[str, float],
-                  now: float, wall: float) -> Iterable[tuple[Machine, str]]:
+        self.cut = frozenset(z for z, count in silent.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
+        for zone in self.cut:
+            # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
+            # nine machines at a time.
+            self._cut_until[zone] = now + c.CUT_MEMORY_S
+        found = Verdict(dark=self.picture.boots.look(machines, now))
         for machine in machines:
-            if machine.state is not MachineState.DELETING:
-                why = self._unfit(machine, patience[machine.zone], now, wall)
-                if why is not None:
-                    yield machine, why
-
-    def _unfit(self, machine: Machine, patience_s: float, now: float, wall: float) -> str | None:
+            if machine.state is MachineState.DELETING:
+                continue
+            why = self._unfit(machine, now, wall, hears_all)
+            if why is not None:
+                found.give_up.append((machine, why))
+            elif (machine.last_heard is not None and machine.zone not in self.cut and machine.tasks
+                    and now - machine.last_heard > c.PROBE_REPORTS * self.workers.report_s > 0
+                    and machine.unanswered < machine.last_heard):
+                found.ask.append(machine)
+        return found
+
+    def quiet(self, now: float) -> list[Machine]:
+        """The machines not heard for some reports: a successor goes on counting from when they were heard last."""
+        return [m for m in self.picture.machines.values()
+                if m.state is not MachineState.BOOTING and now - heard_at(m) > 3 * self.workers.report_s]
+
+    def _patience_s(self, machine: Machine, now: float, hears_all: bool) -> float:
+        """How long this machine may be silent until it is given up.
+
+        The shorter, the surer it is that nothing lives there and the more its users lose by waiting. A machine that is
+        given up too early costs its tasks and a boot, one that is waited for in vain its users' time.
+        """
+        lease_s, report_s = self.workers.lease_s, self.workers.report_s
+        missed = any(t.job.is_open and t.job.kind is not Kind.ARRAY for t in machine.tasks.values())
+        if now < self._cut_until.get(machine.zone, 0.0):
+            if machine.zone in self.attended or not hears_all:
+                # A node in there may be keeping its tasks alive.
+                return lease_s * c.SILENT_ZONE_SHARE
+            # No node in there, and all others in hearing: what ran there is dead once its lease is over. Replicas start
+            # elsewhere at once. The rest waits longer: when the cut ends, its machines and images are there.
+            replicas = any(t.job.is_open and t.job.kind is Kind.SERVICE for t in machine.tasks.values())
+            return lease_s * (1 + 2 * c.CLOCK_DRIFT) + c.LEASE_OVER_S if replicas else lease_s * c.SILENT_PEER_SHARE
+        if not hears_all:
+            return lease_s * c.SILENT_PEER_SHARE
+        asked = machine.last_heard is not None and machine.unanswered > machine.last_heard
+        return min(lease_s, c.SILENT_REPORTS * report_s) if missed and asked else lease_s * c.SILENT_SHARE
+
+    def _unfit(self, machine: Machine, now: float, wall: float, hears_all: bool) -> str | None:
         """Why a machine is to be deleted now, or None."""
+        since = self.entitled_since or 0.0
         # After an outage or a standstill of this node, silence counts anew: once 15 machines that others had kept
-        # alive through an outage of 37 s were deleted in the moment it ended.
-        quiet = now - max(heard_at(machine), self.entitled_since or 0.0)
+        # alive through an outage of 37 s were deleted in the moment it ended. In a zone that is cut off from all nodes
+        # it goes on: there is nobody who could have kept anything alive.
+        lost = machine.zone in self.cut and machine.zone not in self.attended and now - since > c.FIND_NODE_S
+        quiet = now - (heard_at(machine) if lost else max(heard_at(machine), since))
         # Before all else: a machine that the lagging list calls booting may be running tasks.
         held = self.held_too_long(machine, now, wall)
         if held is not None:
@@ -91,7 +122,7 @@
             return "taken by the cloud"
         if machine.state is MachineState.DRAINING and not machine.tasks and machine.drain_reason != "notice":
             return machine.drain_reason
-        if quiet > patience_s:
+        if quiet > self._patience_s(machine, now, hears_all):
             return f"silent for {quiet:.1f} s"
         return None
 
--- a/winglift/policy/renting.py
+++ b/winglift/policy/renting.py
@@ -15,6 +15,7 @@
         self.plan = plan
         self.coming = coming
         self._few = dict(snap.dark)  # where new machines stay dark, few are tried
+        self.all_cut = all(z in snap.cut for t in snap.types.values() for z in t.zones)
         self.per_zone: dict[str, int] = {}
         for room in snap.rooms:
             self.per_zone[room.zone] = self.per_zone.get(room.zone, 0) + 1
@@ -44,6 +45,9 @@
             for zone in mtype.zones:
                 if (spec.zone is not None and zone != spec.zone) or not zone_ok(spec, zone, placed):
                     continue
+                if zone in self.snap.cut and not self.all_cut:
+                    # With its machines out of reach a zone looks empty, and all was rented there first.
+                    continue
                 dark = (mtype.name, zone) in self._few
                 if dark and self._few[mtype.name, zone] < 1:
                     continue
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -192,6 +192,7 @@
     refused: set[tuple[str, str, bool]]  # type, zone, spot: recently without capacity
     reserves: list[Reserve] = field(default_factory=list)
     dark: dict[tuple[str, str], int] = field(default_factory=dict)  # type, zone: machines that may be rented there yet
+    cut: frozenset[str] = frozenset()  # zones cut off now: what is rented there could not be reached
     may_rent: bool = True
     may_move: bool = True  # replicas may be moved off a thin machine now
     slack_pad: float = c.SLACK_PAD
--- a/winglift/wire/back.py
+++ b/winglift/wire/back.py
@@ -24,7 +24,7 @@
     RELAY = 2  # a worker's report, handed to the leader
     RELAYED = 3  # the leader's answer to it
     JOB = 4  # a job record that this node has just committed
-    IMAGES = 5  # which machines hold which images, from the leader to those that may follow it
+    FLEET = 5  # what only the leader knows of machines, for those that may follow it
 
 
 class BadFrame(ValueError):
@@ -94,16 +94,28 @@
         raise BadFrame("bad answer frame") from None
 
 
-def pack_images(images: dict[str, dict[str, float]]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class Fleet:
+    """What a leader would take with it: images per machine (GB each), and seconds of silence of quiet machines."""
+
+    images: dict[str, dict[str, float]]
+    silent: dict[str, float]
+
+
+def pack_fleet(fleet: Fleet) -> bytes:
+    images = fleet.images
     parts = [_COUNT.pack(len(images))]
     for machine, held in images.items():
         parts.append(_pack_text(machine) + _COUNT.pack(len(held)))
         parts += [_pack_text(image) + _SIZE.pack(gb) for image, gb in held.items()]
+    parts.append(_COUNT.pack(len(fleet.silent)))
+    parts += [_pack_text(machine) + _SIZE.pack(seconds) for machine, seconds in fleet.silent.items()]
     return b"".join(parts)
 
 
-def parse_images(body: bytes) -> dict[str, dict[str, float]]:
+def parse_fleet(body: bytes) -> Fleet:
     found: dict[str, dict[str, float]] = {}
+    silent: dict[str, float] = {}
     try:
         (machines,), at = _COUNT.unpack_from(body), _COUNT.size
         for _ in range(machines):
@@ -115,9 +127,16 @@
                 image, at = _parse_text(body, at)
                 (held[image],) = _SIZE.unpack_from(body, at)
                 at += _SIZE.size
+        # A version that knew nothing of silence ends here.
+        quiet = _COUNT.unpack_from(body, at)[0] if at < len(body) else 0
+        at += _COUNT.size
+        for _ in range(quiet):
+            machine, at = _parse_text(body, at)
+            (silent[machine],) = _SIZE.unpack_from(body, at)
+            at += _SIZE.size
     except (struct.error, UnicodeDecodeError):
-        raise BadFrame("bad images frame") from None
-    return found
+        raise BadFrame("bad fleet frame") from None
+    return Fleet(found, silent)
 
 
 def _pack_text(text: str) -> bytes:
