A node that led before its process ended ends its own lease at its first look

Its successor by name ends it at once; only a process's first look may, so two nodes of one name don't end each other's leases for ever.

--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from types import SimpleNamespace
 
+import msgspec
 import pytest
 from helpers import TYPE, settings, spec
 from hypothesis import given
@@ -20,6 +22,8 @@
 from winglift.policy.care import Care
 from winglift.store.batcher import pack
 from winglift.store.client import Health
+from winglift.store.election import Election
+from winglift.wire import state as wire
 from winglift.wire import workers as w
 
 WORKERS = settings().settings.workers
@@ -159,3 +163,25 @@
     assert told == ([] if elsewhere else ["wk-1/0"])
     # One was heard and holds it all the same, one was not heard for as long as a new leader waits.
     assert sorted(deleted) == ([] if elsewhere else ["vm-2", "vm-9"])
+
+
+@pytest.mark.parametrize("named,look,ends", [("node-0", 1, True), ("node-1", 1, False), ("node-0", 2, False)])
+def test_a_node_that_led_before_it_ended_does_not_wait_for_its_own_lease(named, look, ends):
+    """After all nodes had ended, nobody knew that the leader was gone, and 2 s of its lease were waited for."""
+    released: list[int] = []
+
+    class State:
+        async def get(self, key, urgent=False):
+            return wire.Item("leader", msgspec.Raw(msgspec.json.encode(records.LeaderRecord(7, named))), 3, 41)
+
+        async def release(self, lease):
+            released.append(lease)
+
+    async def scenario() -> None:
+        election = Election(State(), "node-0", lambda: None)  # type: ignore[arg-type]
+        election.hurry.set()
+        election._first_look = look == 1
+        await election._follow()
+        assert election.known_term == 7
+    asyncio.run(scenario())
+    assert released == ([41] if ends else [])
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -35,6 +35,7 @@
         self.known_leader = ""
         self._on_change = on_change
         self._pause_until = 0.0
+        self._first_look = True
         self.hurry = asyncio.Event()
         self._rng = random.Random()
 
@@ -119,10 +120,17 @@
 
     async def _follow(self) -> None:
         item = await self.state.get(LEADER, urgent=True)
+        first, self._first_look = self._first_look, False
         if item is not None:
             record = _leader.decode(item.value)
             self.known_term = max(self.known_term, record.term)
             self.known_leader = record.node
+            if first and record.node == self.node and item.lease is not None:
+                # The leader was this node, before its process ended: nobody need wait until its lease runs out. Only a
+                # process's first look tells this; two nodes of one name would end each other's leases for ever.
+                log.info("led term %d before it ended: ends that lease", record.term)
+                await self.state.release(item.lease)
+                return
         elif time.monotonic() >= self._pause_until:
             self.known_leader = ""
             await self._campaign()
