The first machines of a zone's cut are not taken for lone ones

Where most machines of a zone have missed a report (1.6 intervals), no machine is given up early. Generated: reports up to 1.25 intervals apart, a cut at any point.

--- a/tests/test_care.py
+++ b/tests/test_care.py
@@ -72,6 +72,21 @@
     assert given_up(picture, care, "vm-a", 5 * LEASE_S, hears_all) == {}
 
 
+@given(st.lists(st.floats(0.0, 1.25), min_size=6, max_size=6), st.lists(st.floats(0.0, 0.9), min_size=6, max_size=6))
+def test_the_first_machines_of_a_cut_are_not_taken_for_lone_ones(phases, steps):
+    """Their last reports lie up to 1.25 intervals apart. A node in there keeps all of them alive."""
+    picture, care = fleet({f"vm-b{i}": Kind.SERVICE for i in range(6)}, "ab")
+    for i, phase in enumerate(phases):
+        picture.machines[f"vm-b{i}"].last_heard = -phase * REPORT_S
+        picture.machines[f"vm-b{i}"].unanswered = 0.5 * REPORT_S
+    now = 0.0
+    for step in [0.4, 1.0, *steps, 0.3, 0.3, 0.3, 0.3]:
+        now += step * REPORT_S
+        for i in range(6):
+            picture.machines[f"vm-a{i}"].last_heard = now
+        assert not care.look(now, 1e9, True, True).give_up
+
+
 def test_a_successor_goes_on_counting_the_silence_of_a_zone_that_is_cut():
     """It once waited a whole lease anew: the replicas had been dead for that long when it began."""
     picture, care = fleet({"vm-b0": Kind.SERVICE})
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -65,6 +65,8 @@
 INHERITED_TRUST_S = 5.0  # s in which a machine that runs by the list finds a new leader; later it promises no room
 SILENT_REPORTS = 3.0  # of report_s; after this much silence a lone machine that does not answer either is deleted, if
 # parts of services or gangs are on it: a hang or a loss, since a worker on its way to another node would answer
+ZONE_SILENT_REPORTS = 3.0  # of report_s; a machine not heard for longer counts as silent
+ZONE_QUIET_REPORTS = 1.6  # of report_s; a sound machine reports every 0.75 to 1.25, so one that is later missed one
 PROBE_REPORTS = 2.0  # of report_s; after this much silence a machine is asked directly
 PROBE_TIMEOUT_S = 1.5  # s for its answer; a sound machine answers in milliseconds
 PROBES_AT_ONCE = 32  # machines asked at a time: a zone's worth of hanging connections must not eat the sockets
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -36,6 +36,7 @@
         self.entitled_since: float | None = None  # since when this node leads without a doubt or a standstill
         self.attended = frozenset(attended)  # zones that have a node
         self.cut: frozenset[str] = frozenset()  # zones most of whose machines are silent now
+        self._uneasy: frozenset[str] = frozenset()  # zones most of whose machines have missed a report
         self._cut_until: dict[str, float] = {}
 
     def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
@@ -49,13 +50,15 @@
         last = 0.0
         up: dict[str, int] = {}
         silent: dict[str, int] = {}
+        quiet: dict[str, int] = {}
         for machine in machines:
             if machine.state is not MachineState.BOOTING:
                 heard = heard_at(machine)
                 last = max(last, heard)
                 up[machine.zone] = up.get(machine.zone, 0) + 1
-                if now - heard > 3 * self.workers.report_s:
-                    silent[machine.zone] = silent.get(machine.zone, 0) + 1
+                missed = (now - heard) / self.workers.report_s
+                quiet[machine.zone] = quiet.get(machine.zone, 0) + (missed > c.ZONE_QUIET_REPORTS)
+                silent[machine.zone] = silent.get(machine.zone, 0) + (missed > c.ZONE_SILENT_REPORTS)
         if sum(up.values()) >= 2 and now - last > c.LEADER_DEAF_S and not hears_anyone:
             return Verdict(deaf=True)
         self.cut = frozenset(z for z, count in silent.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
@@ -63,6 +66,8 @@
             # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
             # nine machines at a time.
             self._cut_until[zone] = now + c.CUT_MEMORY_S
+        # Before a cut shows, its first machines look like lone ones: 29 were once given up within a second.
+        self._uneasy = frozenset(z for z, count in quiet.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
         found = Verdict(dark=self.picture.boots.look(machines, now))
         for machine in machines:
             if machine.state is MachineState.DELETING:
@@ -78,8 +83,9 @@
 
     def quiet(self, now: float) -> list[Machine]:
         """The machines not heard for some reports: a successor goes on counting from when they were heard last."""
+        limit = c.ZONE_SILENT_REPORTS * self.workers.report_s
         return [m for m in self.picture.machines.values()
-                if m.state is not MachineState.BOOTING and now - heard_at(m) > 3 * self.workers.report_s]
+                if m.state is not MachineState.BOOTING and now - heard_at(m) > limit]
 
     def _patience_s(self, machine: Machine, now: float, hears_all: bool) -> float:
         """How long this machine may be silent until it is given up.
@@ -100,7 +106,9 @@
         if not hears_all:
             return lease_s * c.SILENT_PEER_SHARE
         asked = machine.last_heard is not None and machine.unanswered > machine.last_heard
-        return min(lease_s, c.SILENT_REPORTS * report_s) if missed and asked else lease_s * c.SILENT_SHARE
+        if missed and asked and machine.zone not in self._uneasy:
+            return min(lease_s, c.SILENT_REPORTS * report_s)
+        return lease_s * c.SILENT_SHARE
 
     def _unfit(self, machine: Machine, now: float, wall: float, hears_all: bool) -> str | None:
         """Why a machine is to be deleted now, or None."""
