--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -5,6 +5,7 @@
 from itertools import combinations
 from types import SimpleNamespace
 
+import msgspec
 from helpers import TYPE, settings, spec
 from hypothesis import given
 from hypothesis import strategies as st
@@ -154,3 +155,58 @@
     assert not view._stuck(job, 102.0) and view._stuck(job, 103.9)
     assert not view._stuck(job, 106.0)
     assert view._stuck(job, 113.0)  # far too late by now
+
+
+def gang_of(tasks: int, **changes) -> p.Need:
+    job = spec("wk-1", tasks=tasks, gpus=4.0, cpus=20.0, memory_gb=80.0, kind=Kind.GANG, one_zone=True, image_gb=1.0)
+    return p.Need("wk-1", job, list(range(tasks)), 1000.0, 60.0, {}, **changes)
+
+
+@given(st.integers(1, 2), st.integers(0, 9))
+def test_owed_work_is_displaced_for_a_gang_only_if_it_finds_another_place_at_once(owed, borrowed_elsewhere):
+    """One owed task on a machine barred all of it from a gang that needs it whole, while as much borrowed work ran."""
+    def task(ref: str, index: int, within: bool) -> p.Victim:
+        return p.Victim(ref, index, Priority.LOW, "blue", 5.0, 1.0, 20.0, 5.0, 1, within)
+    whole = [full(f"m{m}", [task("wk-8" if n < owed else "wk-9", 4 * m + n, n < owed) for n in range(4)])
+             for m in range(2)]
+    others = [full(f"o{i}", [task("wk-7", 10 * i, False)], zone="b") for i in range(borrowed_elsewhere)]
+    snap = snapshot(whole + others, [gang_of(2)])
+    snap.ledger.add(spec("wk-9", team="blue", gpus=1.0), 30)  # blue borrows
+    plan = make_plan(snap)
+    enough = borrowed_elsewhere >= 2 * owed
+    assert len(plan.stops) == (8 if enough else 0)
+    assert plan.kept == ({"wk-1": ["m0", "m1"]} if enough else {})
+
+
+def test_room_that_is_being_made_for_a_gang_is_taken_by_nobody_else():
+    small = p.Need("wk-2", spec("wk-2", tasks=1), [0], 500.0, 60.0, {})
+    rooms = [room("m0", kept_for="wk-1", kept_rank=1), room("m1", kept_for="wk-1", kept_rank=1)]
+    plan = make_plan(snapshot(rooms, [small, gang_of(2, keeps=True)]))
+    assert plan.starts == [("wk-1", [(0, "m0"), (1, "m1")])]
+    # Work of higher priority need not wait for it.
+    rooms = [room("m0", kept_for="wk-1", kept_rank=1), room("m1", kept_for="wk-1", kept_rank=1)]
+    urgent = p.Need("wk-3", spec("wk-3", tasks=1, priority=Priority.HIGH), [0], 500.0, 60.0, {})
+    assert make_plan(snapshot(rooms, [small, urgent])).starts == [("wk-3", [(0, "m0")])]
+    # Where its own room is not free yet, it stays kept: another gang that is refused changes nothing about that.
+    rooms = [room("m0", kept_for="wk-1", kept_rank=1),
+             full("m1", [], kept_for="wk-1", kept_rank=1, soon_gpus=4.0, soon_cpus=32.0, soon_memory_gb=256.0)]
+    other = gang_of(2)
+    other.ref, other.spec = "wk-0", msgspec.structs.replace(other.spec, ref="wk-0", team="blue")
+    plan = make_plan(snapshot(rooms, [other, small, gang_of(2, keeps=True)]))
+    assert not plan.starts and plan.kept == {"wk-1": ["m0", "m1"]}
+
+
+def test_room_is_kept_for_a_time_and_then_not_again_at_once():
+    conf = settings()
+    picture = Picture(conf, {"g4": TYPE}, 1)
+    view = View(conf, picture, Inventory(SimpleNamespace(), picture, 3.0), Script(), 0.0)  # type: ignore[arg-type]
+    assert apply_record(picture, "wk-1", 5, records.fresh(gang_of(2).spec, 0.0), 0.0) is not None
+    view.keep({"wk-1": ["vm-1", "vm-2"]}, 100.0)
+    view.keep({"wk-1": ["vm-2", "vm-3"]}, 100.0 + c.GANG_KEEP_S - 1)
+    assert view._kept_rooms(100.0 + c.GANG_KEEP_S) == {"vm-2": "wk-1", "vm-3": "wk-1"}
+    view.keep({"wk-1": ["vm-1", "vm-2"]}, 100.0 + c.GANG_KEEP_S + 1)
+    assert view._kept_rooms(100.0 + c.GANG_KEEP_S + 1) == {}
+    later = 101.0 + c.GANG_KEEP_S + c.GANG_KEEP_PAUSE_S
+    assert view._kept_rooms(later) == {}
+    view.keep({"wk-1": ["vm-1"]}, later)
+    assert view._kept_rooms(later) == {"vm-1": "wk-1"}
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -264,7 +264,7 @@
     snap = snapshot([busy], [p.Need("wk-1", spec("wk-1", tasks=1), [0], 1000.0, 60.0, {}, within=True)])
     snap.ledger.add(spec(team="blue"), 6)
     assert make_plan(snap).stops == []
-    busy.victims[2].within = False
+    busy.victims[2] = p.Victim("wk-8", 2, Priority.NORMAL, "blue", 5.0, 1.0, 20.0, 3.0, 1, False)
     assert [s[:2] for s in make_plan(snap).stops] == [("wk-8", 2)]
 
 
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -249,6 +249,7 @@
                     picture.stop(other, grace, now, f"makes room for {whom}")
             else:
                 picture.stop(task, grace, now, f"makes room for {whom}")
+        self.view.keep(plan.kept, now)
         for ref, index in plan.rescues:
             job = picture.jobs.get(ref)
             task = job.active.get(index) if job else None
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -5,13 +5,14 @@
 import math
 import time
 from collections import deque
+from dataclasses import dataclass
 
 from .. import constants as c
 from ..cloud.inventory import Inventory
 from ..config.script import Script
 from ..config.settings import Settings
 from ..model.blame import suspect
-from ..model.entities import Job, Machine, Task
+from ..model.entities import Job, Load, Machine, Task
 from ..model.machine import MachineState
 from ..model.picture import Picture, zone_counts
 from ..model.task import TaskState
@@ -21,6 +22,24 @@
 from ..wire.users import Kind, Submission
 
 
+@dataclass(frozen=True, slots=True)
+class Look:
+    """What was found on a machine, for a given state of its tasks."""
+
+    load: Load
+    at: float
+    victims: list[policy.Victim]
+    movers: list[policy.Mover]
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    """Machines on which room is being made for a gang, since when."""
+
+    machines: list[str]
+    since: float
+
+
 class View:
     def __init__(self, settings: Settings, picture: Picture, inventory: Inventory, script: Script,
                  began: float) -> None:
@@ -32,6 +51,8 @@
         self.began = began
         aims = [o.within_s for o in settings.settings.objectives if o.kind == "guarantee" and o.within_s is not None]
         self._patience_s = min(aims, default=0.0) * c.PATIENCE_SHARE
+        self._kept: dict[str, Kept] = {}
+        self._looks: dict[str, Look] = {}
         self.recent: deque[tuple[float, Submission]] = deque(maxlen=c.RECENT_ARRIVALS)
 
     def snapshot(self, now: float, may_move: bool = True,
@@ -54,7 +75,13 @@
         alone = frozenset(z for t in self.types.values() for z in t.zones) - attended if attended else frozenset()
         rooms = [r for m in picture.machines.values() if (r := self._room(m, within, now)) is not None]
         rooms += self._asked_rooms(now)
+        if len(self._looks) > 2 * len(picture.machines) + c.LOOKS_SPARE:
+            self._looks = {name: look for name, look in self._looks.items() if name in picture.machines}
+        kept = self._kept_rooms(now)
         for room in rooms:
+            ref = kept.get(room.name)
+            if ref is not None:
+                room.kept_for, room.kept_rank = ref, picture.jobs[ref].spec.priority.rank
             room.alone = room.zone in alone
         stuck: list[policy.Stuck] = []
         for jobs in team_open.values():
@@ -83,6 +110,23 @@
             may_rent=self.inventory.listed_once and now - self.began > lag * c.GRACE_AFTER_TAKEOVER,
         )
 
+    def keep(self, kept: dict[str, list[str]], now: float) -> None:
+        """Remember for which gangs room is being made, and where. From the first time on, not for ever."""
+        for ref, names in kept.items():
+            old = self._kept.get(ref)
+            self._kept[ref] = Kept(names, old.since if old is not None else now)
+
+    def _kept_rooms(self, now: float) -> dict[str, str]:
+        """Machine: the gang it is kept for."""
+        rooms: dict[str, str] = {}
+        for ref, kept in list(self._kept.items()):
+            job = self.picture.jobs.get(ref)
+            if job is None or not job.is_open or job.active or now - kept.since > c.GANG_KEEP_S + c.GANG_KEEP_PAUSE_S:
+                del self._kept[ref]
+            elif now - kept.since <= c.GANG_KEEP_S:
+                rooms.update(dict.fromkeys(kept.machines, ref))
+        return rooms
+
     def _asked_rooms(self, now: float) -> list[policy.Room]:
         """Rentals without an answer yet count as booting."""
         rooms = []
@@ -120,7 +164,7 @@
         may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s())
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
-                           frozenset(job.failed_on), patient, mistaken)
+                           frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self._kept)
 
     def _stuck(self, job: Job, now: float) -> list[policy.Stuck]:
         """Replicas that have been fetching for some time and, as far as can be told, will for more."""
@@ -169,6 +213,16 @@
         )
 
     def _look(self, machine: Machine, within: set[str], now: float) -> tuple[list[policy.Victim], list[policy.Mover]]:
+        """As `_look_anew`, which is kept until the machine's tasks change: most stay as they are for some cycles."""
+        load = machine.load()
+        kept = self._looks.get(machine.name)
+        if kept is None or kept.load is not load or now - kept.at > c.LOOK_KEPT_S:
+            kept = self._looks[machine.name] = Look(load, now, *self._look_anew(machine, within, now))
+        return kept.victims, kept.movers
+
+    @staticmethod
+    def _look_anew(machine: Machine, within: set[str],
+                   now: float) -> tuple[list[policy.Victim], list[policy.Mover]]:
         """What on a machine might be stopped for other work, and what could be started elsewhere."""
         victims: list[policy.Victim] = []
         movers: list[policy.Mover] = []
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -68,11 +68,15 @@
             self._cut_until[zone] = now + c.CUT_MEMORY_S
         # Before a cut shows, its first machines look like lone ones: 29 were once given up within a second.
         self._uneasy = frozenset(z for z, count in quiet.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
+        holding = {task.machine.name for job in self.picture.jobs.values() if job.state is JobState.CANCELLED
+                   for task in job.active.values()}
         found = Verdict(dark=self.picture.boots.look(machines, now))
         for machine in machines:
             if machine.state is MachineState.DELETING:
                 continue
-            why = self._unfit(machine, now, wall, hears_all)
+            # Before all else: a machine that the lagging list calls booting may be running tasks.
+            why = self.held_too_long(machine, now, wall) if machine.name in holding else None
+            why = why or self._unfit(machine, now, hears_all)
             if why is not None:
                 found.give_up.append((machine, why))
             elif (machine.last_heard is not None and machine.zone not in self.cut and machine.tasks
@@ -107,10 +111,10 @@
             return lease_s * c.SILENT_PEER_SHARE
         asked = machine.last_heard is not None and machine.unanswered > machine.last_heard
         if missed and asked and machine.zone not in self._uneasy:
-            return min(lease_s, c.SILENT_REPORTS * report_s)
+            return c.SILENT_REPORTS * report_s
         return lease_s * c.SILENT_SHARE
 
-    def _unfit(self, machine: Machine, now: float, wall: float, hears_all: bool) -> str | None:
+    def _unfit(self, machine: Machine, now: float, hears_all: bool) -> str | None:
         """Why a machine is to be deleted now, or None."""
         since = self.entitled_since or 0.0
         # After an outage or a standstill of this node, silence counts anew: once 15 machines that others had kept
@@ -118,10 +122,6 @@
         # it goes on: there is nobody who could have kept anything alive.
         lost = machine.zone in self.cut and machine.zone not in self.attended and now - since > c.FIND_NODE_S
         quiet = now - (heard_at(machine) if lost else max(heard_at(machine), since))
-        # Before all else: a machine that the lagging list calls booting may be running tasks.
-        held = self.held_too_long(machine, now, wall)
-        if held is not None:
-            return held
         if machine.state is MachineState.BOOTING:
             if now - machine.rented_at > self.picture.boots.patience_s(machine, self.picture.types.values()):
                 return "does not come up"
@@ -130,7 +130,8 @@
             return "taken by the cloud"
         if machine.state is MachineState.DRAINING and not machine.tasks and machine.drain_reason != "notice":
             return machine.drain_reason
-        if quiet > self._patience_s(machine, now, hears_all):
+        # Nobody's patience is shorter than that, and hardly a machine is silent for so long.
+        if quiet > c.SILENT_REPORTS * self.workers.report_s and quiet > self._patience_s(machine, now, hears_all):
             return f"silent for {quiet:.1f} s"
         return None
 
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -7,10 +7,13 @@
 from .search import Search
 from .snapshot import Need, Room, Victim, fetch_s
 
+Option = tuple[float, Room, list[Victim]]  # what a machine costs, and what must stop there
+
 
 class Gangs:
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._displaced = 0.0  # GPUs of owed work that must find another place in this cycle
 
     def _zones(self, need: Need) -> list[str | None]:
         """Where the whole gang may go: each zone by itself, the one with most room first, or anywhere."""
@@ -36,7 +39,8 @@
         """Places for all tasks of a gang, taken; or None with nothing taken."""
         board, spec, tasks = self.board, need.spec, len(need.indices)
         stage = board.stage(soon, coming)
-        where = ("gang", spec.spot, spec.zone, tuple(spec.types or ()), spec.one_zone, need.avoid, stage)
+        where = ("gang", need.ref if need.keeps else "", spec.spot, spec.zone, tuple(spec.types or ()), spec.one_zone,
+                 need.avoid, stage)
         if board.misses.known(where, spec, tasks):
             return None
         rooms = board.up + board.coming if coming else board.up
@@ -88,47 +92,64 @@
         for room in rooms:
             room.give(need.spec)
 
-    def preempt(self, need: Need, warm: bool = False) -> bool:
-        """Make room for a whole gang by stopping other work, or stop nothing; `warm`: only beside its image."""
-        preemption, spec = self.board.preemption, need.spec
-        where = ("gang preempts", warm and spec.image, preemption.kind(need))
+    def preempt(self, need: Need, warm: bool = False, displace: bool = False) -> bool:
+        """Make room for a whole gang by stopping other work, or stop nothing.
+
+        `warm`: only beside its image. `displace`: also where owed work must find another place. The machines are kept
+        for the gang until it starts.
+        """
+        preemption, spec, tasks = self.board.preemption, need.spec, len(need.indices)
+        where = ("gang preempts", warm and spec.image, displace, need.ref if need.keeps else "", preemption.kind(need))
+        if preemption.hopeless(need) or self.board.misses.known(where, spec, tasks):
+            return False
+        best = self._best_choice(need, warm, displace)
+        if best is not None and displace:
+            chosen = [room for _, room, _ in best]
+            moved = sum(v.gpus for _, _, victims in best for v in victims if v.within)
+            if preemption.replaceable(self.board.up, chosen) - self._displaced < moved:
+                best = None
+            else:
+                self._displaced += moved
+        if best is None:
+            self.board.misses.add(where, spec, tasks)
+            return False
+        for _, room, chosen_victims in best:
+            for victim in chosen_victims:
+                preemption.stop(victim, room, need)
+            room.take(spec)
+        self.board.plan.kept[need.ref] = sorted({room.name for _, room, _ in best})
+        return True
+
+    def _best_choice(self, need: Need, warm: bool, displace: bool) -> list[Option] | None:
+        """The cheapest machines of one zone, one for each task. A gang that fits several on one is found by `rooms`."""
+        preemption, spec, tasks = self.board.preemption, need.spec, len(need.indices)
         # A start that waits for a fetch comes later than one that waits for a stop.
         weight = c.FETCH_WEIGHT if spec.due_s is None else 1.0
-        if preemption.hopeless(need) or self.board.misses.known(where, spec, len(need.indices)):
-            return False
-        best: tuple[float, list[tuple[float, Room, list[Victim]]]] | None = None
         rooms_up = self.board.with_image(spec.image) if warm else self.board.up
         allowed = self._allowed(need, [
             r for r in rooms_up if r.fits_soon(spec) or (r.yields and preemption.might(need, r))])
+        best: tuple[float, list[Option]] | None = None
         for zone in self._zones(need):
             rooms = allowed.get(zone, [])
-            if len(rooms) < len(need.indices):
+            if len(rooms) < tasks:
                 continue
-            options: list[tuple[float, Room, list[Victim]]] = []
+            options: list[Option] = []
             for room in rooms:
+                fetch = fetch_s(room, spec) * weight
                 if room.fits_soon(spec):
-                    options.append((fetch_s(room, spec) * weight, room, []))
+                    options.append((fetch, room, []))
                     continue
                 # To spare a fetch no other gang loses its start.
-                chosen = preemption.victims(need, room, frail=not warm) if room.yields else None
+                chosen = preemption.victims(need, room, frail=not warm, displace=displace) if room.yields else None
                 if chosen:
-                    cost = sum(v.lost_s * v.group for v in chosen) + 1.0
-                    options.append((cost + fetch_s(room, spec) * weight, room, chosen))
+                    cost = sum(v.lost_s * v.group + (c.DISPLACE_S if v.within else 0.0) for v in chosen)
+                    options.append((cost + 1.0 + fetch, room, chosen))
             options.sort(key=lambda o: o[0])
-            # Each machine is counted for one task here; a gang that fits several on one is found by `rooms`.
-            if len(options) >= len(need.indices):
-                picked = options[:len(need.indices)]
-                cost = sum(o[0] for o in picked)
+            if len(options) >= tasks:
+                cost = sum(o[0] for o in options[:tasks])
                 if best is None or cost < best[0]:
-                    best = (cost, picked)
-        if best is None:
-            self.board.misses.add(where, spec, len(need.indices))
-            return False
-        for _, room, chosen in best[1]:
-            for victim in chosen:
-                preemption.stop(victim, room, need)
-            room.take(spec)
-        return True
+                    best = cost, options[:tasks]
+        return best[1] if best is not None else None
 
     def rent(self, need: Need) -> bool:
         """Rent what a gang lacks in the zone where it lacks least."""
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -117,7 +117,7 @@
         if room is not None:
             self._promise(room, "room is being made")
             return True
-        if need.patient and not self._offers("up").none:
+        if need.patient and board.preemption.hopes(need, board.up):
             # Thousands of short tasks end every minute. Stopping others for what the next ends would give cost some
             # 11 stops a second on a busy day, each a record's change, a save and often a fetch.
             board.plan.waiting[need.ref] = "others' ends"
@@ -175,7 +175,12 @@
         limits.spend(need, len(found))
         plan.starts.append((need.ref, list(zip(need.indices, [r.name for r in found], strict=True))))
         return
-    if gangs.rooms(need, soon=True) is not None or gangs.preempt(need):
+    soon = gangs.rooms(need, soon=True)
+    if soon is not None:
+        why = "room is being made"
+        if need.keeps:
+            plan.kept[need.ref] = sorted({r.name for r in soon})
+    elif gangs.preempt(need) or gangs.preempt(need, displace=True):
         why = "room is being made"
     elif not board.must_start(need) or need.probe:
         plan.waiting[need.ref] = "its next try" if need.probe else "slack"
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -30,6 +30,26 @@
         return victim.rank < need.spec.priority.rank or (victim.team != need.spec.team
                                                          and victim.team in self._borrowers)
 
+    def displaces(self, need: Need, victim: Victim) -> bool:
+        """May it take the place of owed work, which then finds another at once?
+
+        Owed work of lower priority stands above a borrowing gang. But one such task on a machine bars all of it from a
+        gang that needs it whole, while as much borrowed work runs elsewhere, of which owed work may take the place.
+        """
+        return (victim.within and not need.within and victim.rank < need.spec.priority.rank and victim.group == 1
+                and not victim.frail and (victim.ref, victim.index) not in self.stopped)
+
+    def replaceable(self, rooms: Iterable[Room], but: Iterable[Room]) -> float:
+        """GPUs of borrowed work of the lowest priority, on other machines: what displaced work could take over."""
+        skip = {room.name for room in but}
+        found = 0.0
+        for room in rooms:
+            if room.name not in skip and room.yield_gpus[0] > 0:
+                room.look()
+                found += sum(v.gpus for v in room.victims if v.rank == 0 and not v.within and v.team in self._borrowers
+                             and (v.ref, v.index) not in self.stopped)
+        return found
+
     def hopeless(self, need: Need) -> bool:
         """Nothing anywhere may give way to this need."""
         if need.probe:
@@ -41,6 +61,10 @@
         reach = 3 if self._owed(need) else need.spec.priority.rank
         return need.spec.gpus <= room.gpus + room.soon_gpus + (room.yield_gpus[reach - 1] if reach else 0.0) + EPS
 
+    def hopes(self, need: Need, rooms: Iterable[Room]) -> bool:
+        """Without looking at any task: might room be made somewhere?"""
+        return not self.hopeless(need) and any(r.yields and need.allows(r) and self.might(need, r) for r in rooms)
+
     @staticmethod
     def kind(need: Need) -> tuple:
         """Needs of one kind may stop the same work on the same machines."""
@@ -48,11 +72,15 @@
         return (spec.priority.rank, spec.team if need.within else None, spec.spot, spec.zone, tuple(spec.types or ()),
                 spec.one_zone, need.avoid)
 
-    def victims(self, need: Need, room: Room, frail: bool = True) -> list[Victim] | None:
-        """The cheapest set of tasks on one machine whose stop makes room, or None; with or without frail gangs."""
-        spec = need.spec
+    def victims(self, need: Need, room: Room, frail: bool = True, displace: bool = False) -> list[Victim] | None:
+        """The cheapest set of tasks on one machine whose stop makes room, or None.
+
+        With or without frail gangs; with `displace` also owed tasks that would find another place.
+        """
+        spec, claim = need.spec, need.claim
         room.look()
-        allowed = [v for v in room.victims if (frail or not v.frail) and self.gives(need, v)]
+        allowed = [v for v in room.victims if (frail or not v.frail)
+                   and ((v.claim < claim and self.gives(need, v)) or (displace and self.displaces(need, v)))]
         allowed.sort(key=lambda v: (v.claim, v.lost_s * v.group))
         cpus = spec.cpus - room.cpus - room.soon_cpus
         gpus = spec.gpus - room.gpus - room.soon_gpus
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -39,7 +39,8 @@
         self._entries = 0
         self._heaps: dict[str, list[tuple[tuple, int, int, Room, int]]] = {}
         spec = need.spec
-        fitting = [r for r in rooms if self._fits(r, spec)]
+        fits = Room.fits_soon if soon else Room.fits
+        fitting = [r for r in rooms if fits(r, spec)]
         self.none_fits = not fitting
         for room in fitting:
             if need.allows(room):
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -36,14 +36,12 @@
     group: int  # tasks that stop with it
     within: bool = False  # its job is within its team's guarantee
     frail: bool = False  # of a gang that would lose its start: it has several tasks, or hardly ran
+    rank: int = field(init=False)  # both are asked for far more often than a victim is made
+    claim: tuple[bool, bool, int] = field(init=False)
 
-    @property
-    def rank(self) -> int:
-        return self.priority.rank
-
-    @property
-    def claim(self) -> tuple[bool, bool, int]:
-        return claim(self.priority, self.within)
+    def __post_init__(self) -> None:
+        self.rank = self.priority.rank
+        self.claim = claim(self.priority, self.within)
 
 
 @dataclass(slots=True)
@@ -87,6 +85,8 @@
     soon_gpus: float = 0.0
     soon_memory_gb: float = 0.0
     alone: bool = False  # its zone has no node: once that is cut off, what runs there dies with its lease
+    kept_for: str = ""  # the gang for which its room is being made: only work of higher priority takes of it meanwhile
+    kept_rank: int = 0  # that gang's priority
     stamp: int = 0  # changes whenever its room does
 
     def __post_init__(self) -> None:
@@ -160,13 +160,15 @@
     avoid: frozenset[str] = frozenset()  # machines on which it has failed
     patient: bool = False  # it waits for so short a time that nothing is stopped for it yet: others end by themselves
     probe: bool = False  # it looks mistaken: it may use what is free, and nothing is stopped or rented for it
+    keeps: bool = False  # room is kept for it
 
     @property
     def claim(self) -> tuple[bool, bool, int]:
         return claim(self.spec.priority, self.within)
 
     def allows(self, room: Room) -> bool:
-        return room.allowed(self.spec) and room.name not in self.avoid
+        return (room.allowed(self.spec) and room.name not in self.avoid
+                and (room.kept_for in ("", self.ref) or room.kept_rank < self.spec.priority.rank))
 
 
 @dataclass(slots=True)
@@ -221,6 +223,7 @@
 class Plan:
     starts: list[tuple[str, list[tuple[int, str]]]] = field(default_factory=list)
     stops: list[tuple[str, int, str]] = field(default_factory=list)  # job, task, for whom
+    kept: dict[str, list[str]] = field(default_factory=dict)  # gang: machines on which room is being made for it
     rescues: list[tuple[str, int]] = field(default_factory=list)  # job, task: to be started beside its image
     rentals: list[Rental] = field(default_factory=list)
     waiting: dict[str, str] = field(default_factory=dict)  # job: why its tasks wait
