Owed work is displaced only for gangs that have waited; choices of victims are shared

Only a gang that has waited for 0.4 of its class's start aim displaces now. What one gang of a cycle has found out about a machine's victims holds for the next of its kind, until the machine's room changes: the same choices in fewer steps.

--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -119,6 +119,7 @@
 PATIENCE_SHARE = 0.25  # of the time in which owed work should start: so long an array waits for what ends by itself
 LOOK_KEPT_S = 2.0  # s for which what a machine's tasks would lose by a stop is not added up anew
 LOOKS_SPARE = 100  # machines gone that are remembered so before they are swept out
+DISPLACE_AFTER_SHARE = 0.4  # of a class's start aim; a gang that has waited for longer displaces owed work
 DISPLACE_S = 10.0  # s; what an owed task loses that must find another place: a stop, a placing, perhaps a fetch
 GANG_KEEP_S = 12.0  # s for which room being made is kept for a gang: stops with their saves take 2 to 8 s
 GANG_KEEP_PAUSE_S = 20.0  # s after that in which nothing is kept for it again
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -51,6 +51,11 @@
         self.began = began
         aims = [o.within_s for o in settings.settings.objectives if o.kind == "guarantee" and o.within_s is not None]
         self._patience_s = min(aims, default=0.0) * c.PATIENCE_SHARE
+        self._displace_after_s: dict[str, float] = {}
+        for aim in settings.settings.objectives:
+            if aim.kind == "wait" and aim.within_s is not None:
+                after = aim.within_s * c.DISPLACE_AFTER_SHARE
+                self._displace_after_s[aim.job_class] = min(after, self._displace_after_s.get(aim.job_class, math.inf))
         self._kept: dict[str, Kept] = {}
         self._looks: dict[str, Look] = {}
         self.recent: deque[tuple[float, Submission]] = deque(maxlen=c.RECENT_ARRIVALS)
@@ -164,7 +169,8 @@
         may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s())
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
-                           frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self._kept)
+                           frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self._kept,
+                           late=now - job.waits_since > self._displace_after_s.get(spec.job_class, math.inf))
 
     def _stuck(self, job: Job, now: float) -> list[policy.Stuck]:
         """Replicas that have been fetching for some time and, as far as can be told, will for more."""
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
+
 from .. import constants as c
 from .board import Board
 from .search import Search
@@ -13,6 +15,7 @@
 class Gangs:
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._chosen: dict[Hashable, dict[str, tuple[int, list[Victim] | None]]] = {}
         self._displaced = 0.0  # GPUs of owed work that must find another place in this cycle
 
     def _zones(self, need: Need) -> list[str | None]:
@@ -128,6 +131,9 @@
         rooms_up = self.board.with_image(spec.image) if warm else self.board.up
         allowed = self._allowed(need, [
             r for r in rooms_up if r.fits_soon(spec) or (r.yields and preemption.might(need, r))])
+        # Gangs are of few sizes: what one has found out about a machine holds for the next, until its room changes.
+        kind = preemption.kind(need), spec.gpus, spec.cpus, spec.memory_gb, warm, displace
+        kept = self._chosen.setdefault(kind, {})
         best: tuple[float, list[Option]] | None = None
         for zone in self._zones(need):
             rooms = allowed.get(zone, [])
@@ -140,7 +146,7 @@
                     options.append((fetch, room, []))
                     continue
                 # To spare a fetch no other gang loses its start.
-                chosen = preemption.victims(need, room, frail=not warm, displace=displace) if room.yields else None
+                chosen = self._victims(need, room, warm, displace, kept) if room.yields else None
                 if chosen:
                     cost = sum(v.lost_s * v.group + (c.DISPLACE_S if v.within else 0.0) for v in chosen)
                     options.append((cost + 1.0 + fetch, room, chosen))
@@ -151,6 +157,14 @@
                     best = cost, options[:tasks]
         return best[1] if best is not None else None
 
+    def _victims(self, need: Need, room: Room, warm: bool, displace: bool,
+                 kept: dict[str, tuple[int, list[Victim] | None]]) -> list[Victim] | None:
+        found = kept.get(room.name)
+        if found is None or found[0] != room.stamp:
+            chosen = self.board.preemption.victims(need, room, frail=not warm, displace=displace)
+            found = kept[room.name] = room.stamp, chosen
+        return found[1]
+
     def rent(self, need: Need) -> bool:
         """Rent what a gang lacks in the zone where it lacks least."""
         board, spec = self.board, need.spec
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -180,7 +180,7 @@
         why = "room is being made"
         if need.keeps:
             plan.kept[need.ref] = sorted({r.name for r in soon})
-    elif gangs.preempt(need) or gangs.preempt(need, displace=True):
+    elif gangs.preempt(need) or (need.late and gangs.preempt(need, displace=True)):
         why = "room is being made"
     elif not board.must_start(need) or need.probe:
         plan.waiting[need.ref] = "its next try" if need.probe else "slack"
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -36,8 +36,8 @@
         Owed work of lower priority stands above a borrowing gang. But one such task on a machine bars all of it from a
         gang that needs it whole, while as much borrowed work runs elsewhere, of which owed work may take the place.
         """
-        return (victim.within and not need.within and victim.rank < need.spec.priority.rank and victim.group == 1
-                and not victim.frail and (victim.ref, victim.index) not in self.stopped)
+        return (need.late and victim.within and not need.within and victim.rank < need.spec.priority.rank
+                and victim.group == 1 and not victim.frail and (victim.ref, victim.index) not in self.stopped)
 
     def replaceable(self, rooms: Iterable[Room], but: Iterable[Room]) -> float:
         """GPUs of borrowed work of the lowest priority, on other machines: what displaced work could take over."""
