--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -12,6 +12,7 @@
 from winglift.model.teams import Ledger
 from winglift.net.budget import Budget
 from winglift.policy import snapshot as p
+from winglift.policy.board import Board
 from winglift.policy.plan import make_plan
 from winglift.policy.preemption import Offers, Preemption
 from winglift.policy.reserve import reserve_size
@@ -184,6 +185,16 @@
         assert make_plan(twin) == known
 
 
+@given(snapshots())
+def test_leaving_out_full_machines_changes_no_plan(snap):
+    before, roomy = make_plan(copy.deepcopy(snap)), Board.roomy
+    Board.roomy = lambda board, image, soon: board.up if image is None else board.with_image(image)  # type: ignore
+    try:
+        assert make_plan(snap) == before
+    finally:
+        Board.roomy = roomy  # type: ignore[method-assign]
+
+
 def test_a_full_cluster_is_looked_through_once_for_jobs_that_are_alike():
     """At 515 machines a cycle once took 5 s: every waiting task looked at every room. Counts looks, not seconds."""
     looks = 0
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -55,6 +55,7 @@
 RELAY_TIMEOUT_S = 1.0  # s; a report handed to the leader over the back link; workers wait 4 s
 REDIRECT_MEMORY_S = 12.0  # s; a worker that comes back this soon after a redirect can't reach the leader
 CONTACT_MEMORY_S = 30.0  # s; what is known of a worker on the wrong node is forgotten after this
+TASK_NAMES_KEPT = 8192  # names of tasks kept in their parts, some 200 bytes each: more than run at a time
 CONTACTS_MOST = 2000  # workers remembered so; far above the machines of a deployment
 CUT_MEMORY_S = 20.0  # s after a cut in which its zone's silence still counts as the cut's
 SILENT_SHARE = 1.0  # of lease_s; after this much silence a lone machine is deleted
--- a/winglift/policy/board.py
+++ b/winglift/policy/board.py
@@ -23,6 +23,7 @@
         self.preemption = Preemption(snap.ledger, self.plan)
         self.renting = Renting(snap, self.plan, self.coming)
         self.misses = Misses()
+        self._roomy: dict[tuple[str | None, int], list[Room]] = {}
         self._with_image: dict[str, list[Room]] = {}
 
     def with_image(self, image: str) -> list[Room]:
@@ -31,6 +32,18 @@
             found = self._with_image[image] = [r for r in self.up if image in r.images]
         return found
 
+    def roomy(self, image: str | None, soon: bool) -> list[Room]:
+        """The machines, or those with an image, that have any GPU free, or soon: on a busy fleet few of many.
+
+        Rooms only fill up while tasks are placed one by one; stops make the list anew.
+        """
+        key = image, len(self.plan.stops) if soon else -1
+        found = self._roomy.get(key)
+        if found is None:
+            rooms = self.up if image is None else self.with_image(image)
+            found = self._roomy[key] = [r for r in rooms if r.gpus + (r.soon_gpus if soon else 0.0) > EPS]
+        return found
+
     def stage(self, soon: bool, coming: bool) -> tuple[int, int]:
         """Changes whenever there may be new room of such a sort: by stops, or by rentals."""
         return (len(self.plan.stops) if soon else -1, len(self.plan.rentals) if coming else -1)
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -56,7 +56,10 @@
             board, spec = self.board, self.need.spec
             where = (which, board.stage(soon, which == "coming"))
             hopeless = which != "warm" and board.misses.known(where, spec)
-            found = Search(self.need, () if hopeless else self._rooms(which), board.snap.now, soon)
+            rooms = () if hopeless else self._rooms(which)
+            if rooms and which != "coming" and spec.gpus > 0:
+                rooms = board.roomy(spec.image if which == "warm" else None, soon)
+            found = Search(self.need, rooms, board.snap.now, soon)
             if found.none_fits and not hopeless and which != "warm":
                 board.misses.add(where, spec)
             self._searches[which, soon] = found
--- a/winglift/wire/workers.py
+++ b/winglift/wire/workers.py
@@ -4,9 +4,11 @@
 
 import re
 from enum import StrEnum
+from functools import lru_cache
 
 import msgspec
 
+from .. import constants as c
 from .users import Invalid, is_ref
 
 _NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
@@ -32,6 +34,15 @@
     UNKNOWN = "no_such"
 
 
+@lru_cache(maxsize=c.TASK_NAMES_KEPT)
+def parse_task(name: str) -> tuple[str, int] | None:
+    """(job, task number) of a task's name, or None. Most names come back with the machine's next report."""
+    ref, _, number = name.partition("/")
+    if is_ref(ref) and number.isascii() and number.isdigit() and len(number) <= 6:
+        return ref, int(number)
+    return None
+
+
 class TaskReport(msgspec.Struct, frozen=True, rename={
     "task": "piece", "attempt": "tryNo", "phase": "status", "why": "exitCause",
 }):
@@ -43,10 +54,7 @@
 
     def key(self) -> tuple[str, int] | None:
         """(job, task number), or None when the name has another form."""
-        ref, _, number = self.task.partition("/")
-        if is_ref(ref) and number.isascii() and number.isdigit() and len(number) <= 6:
-            return ref, int(number)
-        return None
+        return parse_task(self.task)
 
 
 class Report(msgspec.Struct, frozen=True, kw_only=True, rename={
