A question without an answer counts only beside one that was answered

A leader is cut off from all workers there and hears them through other nodes: none of its questions is answered, and the last machines to find another node, up to two tries of 5 s, were given up. A machine heard just now in the same zone is asked as well, and where most of a zone had missed a report nobody is given up early for 12 s.

--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -68,6 +68,8 @@
 # parts of services or gangs are on it: a hang or a loss, since a worker on its way to another node would answer
 ZONE_SILENT_REPORTS = 3.0  # of report_s; a machine not heard for longer counts as silent
 ZONE_QUIET_REPORTS = 1.6  # of report_s; a sound machine reports every 0.75 to 1.25, so one that is later missed one
+UNEASY_MEMORY_S = 12.0  # s after most of a zone was quiet in which nobody there is given up early: a worker tries twice
+# to find a node that answers
 PROBE_REPORTS = 2.0  # of report_s; after this much silence a machine is asked directly
 PROBE_TIMEOUT_S = 1.5  # s for its answer; a sound machine answers in milliseconds
 PROBES_AT_ONCE = 32  # machines asked at a time: a zone's worth of hanging connections must not eat the sockets
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -231,7 +231,7 @@
             log.info("new machines of %s in %s stay dark: others are rented elsewhere", mtype, zone)
         for machine, why in found.give_up:
             self.inventory.delete(machine, why)
-        self.prober.ask(found.ask)
+        self.prober.ask(found.ask, found.controls)
 
     # -- commit and act ------------------------------------------------------------------------
 
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -26,6 +26,7 @@
     give_up: list[tuple[Machine, str]] = field(default_factory=list)  # to be deleted, and why
     dark: set[Place] = field(default_factory=set)  # type and zone whose new machines stay dark from now on
     ask: list[Machine] = field(default_factory=list)  # to be asked directly whether they are still there
+    controls: dict[str, Machine] = field(default_factory=dict)  # per zone the machine heard last: it should answer
 
 
 class Care:
@@ -36,7 +37,7 @@
         self.entitled_since: float | None = None  # since when this node leads without a doubt or a standstill
         self.attended = frozenset(attended)  # zones that have a node
         self.cut: frozenset[str] = frozenset()  # zones most of whose machines are silent now
-        self._uneasy: frozenset[str] = frozenset()  # zones most of whose machines have missed a report
+        self._uneasy_until: dict[str, float] = {}  # zones most of whose machines had missed a report
         self._cut_until: dict[str, float] = {}
 
     def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
@@ -66,8 +67,11 @@
             # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
             # nine machines at a time.
             self._cut_until[zone] = now + c.CUT_MEMORY_S
-        # Before a cut shows, its first machines look like lone ones: 29 were once given up within a second.
-        self._uneasy = frozenset(z for z, count in quiet.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
+        # Before a cut shows, its first machines look like lone ones: 29 were once given up within a second. And after a
+        # cut between a leader and all workers the last ones to find another node looked like it.
+        for zone, count in quiet.items():
+            if count > max(1.0, c.ZONE_SILENT_PART * up[zone]):
+                self._uneasy_until[zone] = now + c.UNEASY_MEMORY_S
         holding = {task.machine.name for job in self.picture.jobs.values() if job.state is JobState.CANCELLED
                    for task in job.active.values()}
         found = Verdict(dark=self.picture.boots.look(machines, now))
@@ -83,6 +87,10 @@
                     and now - machine.last_heard > c.PROBE_REPORTS * self.workers.report_s > 0
                     and machine.unanswered < machine.last_heard):
                 found.ask.append(machine)
+            elif machine.last_heard is not None and machine.state is MachineState.UP and machine.addr:
+                best = found.controls.get(machine.zone)
+                if best is None or machine.last_heard > (best.last_heard or 0.0):
+                    found.controls[machine.zone] = machine
         return found
 
     def quiet(self, now: float) -> list[Machine]:
@@ -110,7 +118,7 @@
         if not hears_all:
             return lease_s * c.SILENT_PEER_SHARE
         asked = machine.last_heard is not None and machine.unanswered > machine.last_heard
-        if missed and asked and machine.zone not in self._uneasy:
+        if missed and asked and now >= self._uneasy_until.get(machine.zone, 0.0):
             return c.SILENT_REPORTS * report_s
         return lease_s * c.SILENT_SHARE
 
--- a/winglift/workers/probes.py
+++ b/winglift/workers/probes.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from .. import constants as c
 from ..model.entities import Machine
@@ -29,35 +29,42 @@
         self.me = me
         self._asking: dict[str, asyncio.Task] = {}
 
-    def ask(self, machines: Iterable[Machine]) -> None:
-        """Ask these machines, not too many at once: those left out are asked by a later call."""
+    def ask(self, machines: Iterable[Machine], controls: Mapping[str, Machine]) -> None:
+        """Ask these machines, not too many at once: those left out are asked by a later call.
+
+        `controls`: per zone a machine that was heard just now, which is asked as well.
+        """
         for machine in machines:
             if len(self._asking) >= c.PROBES_AT_ONCE:
                 return
-            if machine.name not in self._asking and machine.addr:
-                self._asking[machine.name] = asyncio.ensure_future(self._ask(machine))
+            control = controls.get(machine.zone)
+            if machine.name not in self._asking and machine.addr and control is not None:
+                self._asking[machine.name] = asyncio.ensure_future(self._ask(machine, control))
 
     def stop(self) -> None:
         for task in self._asking.values():
             task.cancel()
 
-    async def _question(self, machine: Machine) -> None:
-        host, _, port = machine.addr.partition(":")
+    async def _ask(self, machine: Machine, control: Machine) -> None:
+        """No answer counts only if the control answers: a leader cut off from all workers had given sound ones up."""
         sent = time.monotonic()
+        try:
+            answered, reached = await asyncio.gather(self._question(machine), self._question(control))
+            # If this node stood still, the answer may have been there.
+            if not answered and reached and time.monotonic() - sent < c.PROBE_TIMEOUT_S + c.PAUSE_S:
+                machine.unanswered = sent
+                self.picture.changed = True
+        finally:
+            self._asking.pop(machine.name, None)
+
+    async def _question(self, machine: Machine) -> bool:
+        host, _, port = machine.addr.partition(":")
         try:
             reply = await Client(host, int(port), most=0).request("GET", "/show", None, c.PROBE_TIMEOUT_S)
-            if reply.status == 200 and self.me.entitled(time.monotonic()):
-                on_report(self.picture, w.parse_report(reply.body), time.monotonic(), direct=True)
-                return
+            if reply.status == 200:
+                if self.me.entitled(time.monotonic()):
+                    on_report(self.picture, w.parse_report(reply.body), time.monotonic(), direct=True)
+                return True
         except (Unanswered, Invalid) as err:
             log.debug("%s does not answer: %s", machine.name, err)
-        if time.monotonic() - sent < c.PROBE_TIMEOUT_S + c.PAUSE_S:
-            # Otherwise this node stood still, and the answer may have been there.
-            machine.unanswered = sent
-            self.picture.changed = True
-
-    async def _ask(self, machine: Machine) -> None:
-        try:
-            await self._question(machine)
-        finally:
-            self._asking.pop(machine.name, None)
+        return False
