Reread: one way to give places back, one comparison of claims, one choice of what fits

Gangs gave places back by three loops, a victim's claim was compared twice, a search chose its measure in two places, and the view worked out by itself which zones have no node.

--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -77,7 +77,6 @@
                     within.add(job.ref)
                 cpus += job.spec.cpus * tasks
                 gpus += job.spec.gpus * tasks
-        alone = frozenset(z for t in self.types.values() for z in t.zones) - attended if attended else frozenset()
         rooms = [r for m in picture.machines.values() if (r := self._room(m, within, now)) is not None]
         rooms += self._asked_rooms(now)
         if len(self._looks) > 2 * len(picture.machines) + c.LOOKS_SPARE:
@@ -87,7 +86,7 @@
             ref = kept.get(room.name)
             if ref is not None:
                 room.kept_for, room.kept_rank = ref, picture.jobs[ref].spec.priority.rank
-            room.alone = room.zone in alone
+            room.alone = attended is not None and room.zone not in attended
         stuck: list[policy.Stuck] = []
         for jobs in team_open.values():
             for job in jobs:
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -84,7 +84,7 @@
             if why is not None:
                 found.give_up.append((machine, why))
             elif (machine.last_heard is not None and machine.zone not in self.cut and machine.tasks
-                    and now - machine.last_heard > c.PROBE_REPORTS * self.workers.report_s > 0
+                    and now - machine.last_heard > c.PROBE_REPORTS * self.workers.report_s
                     and machine.unanswered < machine.last_heard):
                 found.ask.append(machine)
             elif machine.last_heard is not None and machine.state is MachineState.UP and machine.addr:
@@ -106,7 +106,7 @@
         given up too early costs its tasks and a boot, one that is waited for in vain its users' time.
         """
         lease_s, report_s = self.workers.lease_s, self.workers.report_s
-        missed = any(t.job.is_open and t.job.kind is not Kind.ARRAY for t in machine.tasks.values())
+        precious = any(t.job.is_open and t.job.kind is not Kind.ARRAY for t in machine.tasks.values())
         if now < self._cut_until.get(machine.zone, 0.0):
             if machine.zone in self.attended or not hears_all:
                 # A node in there may be keeping its tasks alive.
@@ -118,7 +118,7 @@
         if not hears_all:
             return lease_s * c.SILENT_PEER_SHARE
         asked = machine.last_heard is not None and machine.unanswered > machine.last_heard
-        if missed and asked and now >= self._uneasy_until.get(machine.zone, 0.0):
+        if precious and asked and now >= self._uneasy_until.get(machine.zone, 0.0):
             return c.SILENT_REPORTS * report_s
         return lease_s * c.SILENT_SHARE
 
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -54,8 +54,7 @@
             if sum(r.slots(spec, soon) for r in candidates) < tasks:
                 continue
             taken = self._take(need, Search(need, candidates, board.snap.now, soon))
-            for room in taken:
-                room.give(spec)
+            self.leave(need, taken)
             if len(taken) == tasks:
                 # It starts once the last task has its image: a zone whose machines hold it comes before a roomier one.
                 slowest = max(fetch_s(r, spec) for r in taken)
@@ -187,7 +186,6 @@
                     taken.append(room)
             if len(taken) == len(need.indices):
                 return True
-            for room in taken:
-                room.give(spec)
+            self.leave(need, taken)
             board.renting.undo(mark)
         return False
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -23,8 +23,9 @@
         """Could another team owe this need room at all?"""
         return need.within and any(name != need.spec.team for name in self._borrowers)
 
-    def gives(self, need: Need, victim: Victim) -> bool:
-        if (victim.ref, victim.index) in self.stopped or not victim.claim < need.claim:
+    def gives(self, need: Need, claim: tuple[bool, bool, int], victim: Victim) -> bool:
+        """Does a victim give way to a need? `claim` is the need's, which its caller asks for once."""
+        if not victim.claim < claim or (victim.ref, victim.index) in self.stopped:
             # What stands above a need never gives way to it: else two teams stop each other in turn.
             return False
         return victim.rank < need.spec.priority.rank or (victim.team != need.spec.team
@@ -80,7 +81,7 @@
         spec, claim = need.spec, need.claim
         room.look()
         allowed = [v for v in room.victims if (frail or not v.frail)
-                   and ((v.claim < claim and self.gives(need, v)) or (displace and self.displaces(need, v)))]
+                   and (self.gives(need, claim, v) or (displace and self.displaces(need, v)))]
         allowed.sort(key=lambda v: (v.claim, v.lost_s * v.group))
         cpus = spec.cpus - room.cpus - room.soon_cpus
         gpus = spec.gpus - room.gpus - room.soon_gpus
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -33,14 +33,13 @@
 
     def __init__(self, need: Need, rooms: Iterable[Room], now: float, soon: bool = False) -> None:
         self.need = need
-        self.soon = soon
         self._now = now
         self._order: dict[str, int] = {}
         self._entries = 0
         self._heaps: dict[str, list[tuple[tuple, int, int, Room, int]]] = {}
         spec = need.spec
-        fits = Room.fits_soon if soon else Room.fits
-        fitting = [r for r in rooms if fits(r, spec)]
+        self._fits = Room.fits_soon if soon else Room.fits
+        fitting = [r for r in rooms if self._fits(r, spec)]
         self.none_fits = not fitting
         for room in fitting:
             if need.allows(room):
@@ -49,9 +48,6 @@
         for heap in self._heaps.values():
             heapify(heap)
 
-    def _fits(self, room: Room, spec: Submission) -> bool:
-        return room.fits_soon(spec) if self.soon else room.fits(spec)
-
     def _entry(self, room: Room) -> tuple[tuple, int, int, Room, int]:
         self._entries += 1  # no two entries are equal, so rooms themselves are never compared
         return preference(self.need, room, self._now, {}), self._order[room.name], self._entries, room, room.stamp
