--- a/winglift/flows/graph.py
+++ b/winglift/flows/graph.py
@@ -89,15 +89,17 @@
     """The chain of steps that takes the longest, first to last."""
     finish: dict[str, float] = {}
     before: dict[str, str | None] = {}
+    place: dict[str, int] = {}  # of equally long chains the one with more steps
     waiting = dict(nodes)
     while waiting:
         for path in [p for p, n in waiting.items() if all(q in finish for q in n.parents)]:
             node = waiting.pop(path)
-            before[path] = max(node.parents, key=lambda p: (finish[p], p), default=None)
+            before[path] = max(node.parents, key=lambda p: (finish[p], place[p]), default=None)
             last = before[path]
+            place[path] = len(place)
             finish[path] = node.run_s + (finish[last] if last is not None else 0.0)
     chain: list[str] = []
-    at = max(finish, key=lambda p: (finish[p], p), default=None)
+    at = max(finish, key=lambda p: (finish[p], place[p]), default=None)
     while at is not None:
         chain.append(at)
         at = before[at]
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -92,7 +92,7 @@
         self.version = version
         self.engine: Engine | None = None
         self.nodes: dict[str, Node] = {}
-        self.waiting: list[Leaf] = []
+        self.waiting: deque[Leaf] = deque()
         self.open: dict[str, Open] = {}
         self.records: dict[str, records.StepRecord] = {}
         self.reuse: dict[str, records.StepRecord] = {}
@@ -214,10 +214,14 @@
         await self._follow(self.engine.go)
         await self._settle()
         while self.waiting and sum(len(o.parts) for o in self.open.values()) < self.leader.open_jobs:
-            leaf = self.waiting[0]
-            await self._launch(leaf)
+            leaf = self.waiting.popleft()
+            try:
+                await self._launch(leaf)
+            except BaseException:
+                if leaf.path not in self.records:
+                    self.waiting.appendleft(leaf)
+                raise
             self._doubtful.discard(leaf.path)
-            self.waiting.remove(leaf)
         for found in list(self.open.values()):
             await self._look(found)
         if self.engine.outputs is not None and not self.open and not self.waiting:
