--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -66,7 +66,7 @@
         return (await self.server.reply("POST", "/flows", wire.encode(sub))).ref
 
     async def status(self, ref: str) -> wire.FlowReply:
-        return await self.server.reply("GET", f"/flows/{ref}")
+        return await self.server.flow(ref)
 
     async def ends(self, ref: str) -> wire.FlowReply:
         async def over() -> wire.FlowReply | None:
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -163,6 +163,28 @@
     asyncio.run(scenario())
 
 
+def test_steps_come_in_pages_and_an_outage_of_the_uploads_only_delays(tmp_path):
+    async def scenario() -> None:
+        async with flow_world(tmp_path) as w:
+            checked = read(tmp_path, "outer_scatter", {"xs": [str(i) for i in range(30)]})
+            await w.submit(checked, "fl-1")
+
+            async def inside() -> bool:
+                return len(w.starts()) > 5
+            await w.until(inside)
+            w.stage.store.down = True
+            await asyncio.sleep(1.0)
+            w.stage.store.down = False
+            assert await w.outputs("fl-1") == {"out": [f"{i} ?" for i in range(30)]}
+            first = await w.server.reply("GET", "/flows/fl-1")
+            assert (len(first.steps), first.next) == (50, 50)
+            assert [s.state for s in (await w.status("fl-1")).steps] == ["done"] * 60
+            assert (await w.server.reply("GET", "/flows/fl-1?steps=no")).steps == []
+            assert (await w.server.ask("GET", "/flows/fl-1?steps=x")).status == 400
+            assert [r.ref for r in await w.server.flows()] == ["fl-1"]
+    asyncio.run(scenario())
+
+
 def test_a_workflow_s_steps_are_what_the_same_jobs_would_be(tmp_path):
     """The same work by hand: results and what the state service keeps of it are the same."""
     async def scenario() -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -408,3 +408,15 @@
     assert [when for when, _ in sent] == sorted(when for when, _ in sent)
     for when, _ in sent:
         assert sum(amount for t, amount in sent if t <= when) <= 5.0 + 5.0 * when + 1e-6
+
+
+def test_of_machines_that_serve_alike_those_of_a_step_s_parents_come_first():
+    job = spec("wk-1", tasks=1)
+
+    def room(name: str, **more) -> p.Room:
+        return p.Room(name, TYPE, "a", False, 32.0, 4.0, 256.0, images={"img"}, held={"img"}, **more)
+    rooms = [room("vm-1"), room("vm-2"), room("vm-3", ready_in=9.0)]
+    assert Search(p.Need("wk-1", job, [0], 1e6, 60.0, {}), rooms, 0.0).best({}).name == "vm-1"
+    assert Search(p.Need("wk-1", job, [0], 1e6, 60.0, {}, near=frozenset({"vm-2"})), rooms, 0.0).best({}).name == "vm-2"
+    # Never at the price of waiting for a machine.
+    assert Search(p.Need("wk-1", job, [0], 1e6, 60.0, {}, near=frozenset({"vm-3"})), rooms, 0.0).best({}).name == "vm-1"
--- a/winglift/cli/client.py
+++ b/winglift/cli/client.py
@@ -60,6 +60,15 @@
             raise ServerError(f"{reply.status}: {_error(reply)}")
         return reply
 
+    async def flow(self, ref: str) -> wire.FlowReply:
+        """A workflow with all its steps."""
+        reply = await self.reply("GET", f"/flows/{ref}")
+        steps = list(reply.steps)
+        while reply.next is not None:
+            reply = await self.reply("GET", f"/flows/{ref}?steps={reply.next}")
+            steps += reply.steps
+        return msgspec.structs.replace(reply, steps=steps)
+
     async def flows(self) -> list[wire.FlowReply]:
         found: list[wire.FlowReply] = []
         while True:
--- a/winglift/cli/flow.py
+++ b/winglift/cli/flow.py
@@ -6,6 +6,7 @@
 import pathlib
 import random
 import sys
+import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -153,10 +154,14 @@
         reply = await _submit(found, nodes, ref, team, due, reuse, files)
         click.echo(f"{reply.ref} is accepted", err=True)
         with display() as shown:
+            next_look = 0.0
             while reply.state is FlowState.OPEN:
                 await asyncio.sleep(c.CLIENT_POLL_S)
-                reply = await nodes.reply("GET", f"/flows/{reply.ref}")
-                shown.show(reply)
+                reply = await nodes.reply("GET", f"/flows/{reply.ref}?steps=no")
+                if time.monotonic() >= next_look or reply.state is not FlowState.OPEN:
+                    reply = await nodes.flow(reply.ref)
+                    next_look = time.monotonic() + len(reply.steps) * c.CLIENT_STEPS_SHARE
+                    shown.show(reply)
         return await _finish(reply, nodes, files, outdir)
 
     return run_async(work())
@@ -213,7 +218,7 @@
 def status(ref: str, server: str, as_json: bool) -> int:
     """State of a workflow and of its steps."""
     async def work() -> int:
-        reply = await Server(server).reply("GET", f"/flows/{ref}")
+        reply = await Server(server).flow(ref)
         out(reply) if as_json else _print(reply)
         return 0
     return run_async(work())
@@ -260,7 +265,7 @@
     async def work() -> int:
         if wire.is_flow(what):
             nodes_ = Server(server)
-            reply = await nodes_.reply("GET", f"/flows/{what}")
+            reply = await nodes_.flow(what)
             store = Files(*parse_addr(files or await nodes_.files(), "--files"))
             try:
                 nodes = graph(wire.parse_plan(await store.get(reply.plan)))
--- a/winglift/flows/service.py
+++ b/winglift/flows/service.py
@@ -119,11 +119,14 @@
             raise Unlike(f"ref: {sub.ref} belongs to another workflow")
         return 200, records.reply(known[0])
 
-    async def status(self, ref: str) -> FlowReply | None:
+    async def status(self, ref: str, start: int | None) -> FlowReply | None:
+        """A workflow's state, with a page of its steps from `start` on; None: without them."""
         known = await self._head(ref)
         if known is None:
             return None
         head = known[0]
+        if start is None:
+            return records.reply(head)
         try:
             items = (await self.node.state.list(records.step_prefix(ref)))[0]
             nodes = await self._graph(head.sub.plan)
@@ -134,15 +137,16 @@
         ended = [records.decode_step(item.value) for item in items]
         over = {plain(r.path) for r in ended}
         steps = [StepReply(r.path, r.how.value, r.tasks, r.tasks if r.how is How.DONE else 0, r.jobs) for r in ended]
-        for path, node in nodes.items():
-            if path in over:
-                continue
-            step = StepReply(path, "skipped" if head.state is FlowState.DONE else "waiting", 0)
-            if head.state is FlowState.OPEN and node.parents <= over:
-                step = await self._open(ref, path) or step
-            steps.append(step)
+        steps += [StepReply(path, "skipped" if head.state is FlowState.DONE else "waiting", 0) for path in nodes
+                  if path not in over]
         order = {path: number for number, path in enumerate(nodes)}
-        return records.reply(head, steps=sorted(steps, key=lambda s: (order.get(plain(s.path), 0), s.path)))
+        steps.sort(key=lambda s: (order.get(plain(s.path), 0), s.path))
+        page = steps[start:start + c.FLOW_STEPS_SHOWN]
+        if head.state is FlowState.OPEN:
+            page = [(await self._open(ref, s.path) or s) if s.state == "waiting" and nodes[s.path].parents <= over
+                    else s for s in page]
+        later = start + len(page)
+        return records.reply(head, steps=page, next=later if later < len(steps) else None)
 
     async def _open(self, ref: str, path: str) -> StepReply | None:
         job = job_ref(ref, path, 0)
@@ -233,7 +237,10 @@
 class Status(ForFlows):
     async def get(self, text: str) -> None:
         async def ask() -> tuple[int, object]:
-            return 200, await self.flows.status(self.flow(text))
+            start = self.get_query_argument("steps", "0")
+            if start != "no" and not (start.isascii() and start.isdigit() and len(start) < 10):
+                raise Invalid("steps: expected a number, or no")
+            return 200, await self.flows.status(self.flow(text), None if start == "no" else int(start))
         await self.answer(ask)
 
 
--- a/winglift/wire/flows.py
+++ b/winglift/wire/flows.py
@@ -186,6 +186,8 @@
 
 
 class FlowReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """`steps` come in pages; `next` is where the next one begins."""
+
     ref: str
     state: FlowState
     team: str = ""
@@ -195,6 +197,7 @@
     errors: str = ""  # the end of a failed tool's standard error
     outputs: str | None = None  # SHA-256 of the output object
     steps: list[StepReply] = []
+    next: int | None = None
 
 
 class FlowList(msgspec.Struct, frozen=True):
