--- a/standins/flowlab.py
+++ b/standins/flowlab.py
@@ -28,6 +28,7 @@
 from winglift.model.teams import Ledger
 from winglift.policy import snapshot as policy
 from winglift.policy.plan import make_plan
+from winglift.policy.split import split_deadline
 from winglift.wire import flows as wire
 from winglift.wire.cloud import MachineType
 from winglift.wire.users import Kind, Priority, Submission
@@ -174,7 +175,24 @@
         if how == "equal":
             depth = max(self.levels.values()) + 1
             return self.begin + (self.due - self.begin) * (self.levels[path] + 1) / depth
-        return divide(self.nodes, self.begin, self.due, self.ends, {})[path]
+        dues = divide(self.nodes, self.begin, self.due, self.ends, {})
+        return dues[path] if how == "run time" else self._latest(dues)[path]
+
+    def _latest(self, dues: dict[str, float]) -> dict[str, float]:
+        """Not served, measured only: the same shares, but a step off the critical path may end as late as the steps
+        after it still keep theirs."""
+        open_ = [p for p in self.nodes if p not in self.ends]
+        begin = max([self.begin, *self.ends.values()])
+        makespan = max(split_deadline([{p: n.run_s for p, n in self.nodes.items()}],
+                                      {p: sorted(n.parents) for p, n in self.nodes.items()}, self.begin, 0.0,
+                                      self.ends).values())
+        stretch = max(1.0, (self.due - begin) / max(1e-6, makespan - begin))
+        found = dict.fromkeys(open_, max(self.due, max(dues.values())))
+        for child in reversed(open_):  # parents come before their children
+            for parent in self.nodes[child].parents:
+                if parent in found:
+                    found[parent] = min(found[parent], found[child] - self.nodes[child].run_s * stretch)
+        return found
 
 
 class Box:
@@ -256,7 +274,7 @@
 
 SHAPES = ["pipeline", "fan", "lanes", "waist"]
 FACTORS = [1.2, 1.5, 2.0, 3.0]
-DIVISIONS = ["run time", "equal", "none"]
+DIVISIONS = ["run time", "equal", "none", "run time, latest"]
 
 
 def write(rows: list[dict[str, Any]], file: pathlib.Path) -> None:
