Workflows bounded in steps and depth; try ends what it started at a signal; scripts of steps

A plan of a few lines could lay open to 2^25 steps and take a node's memory; a graph cache of eight plans had no bound of size. try left its controllers behind when it was terminated. JavaScript asked for by a step alone was not seen by its valueFrom. An output that can't be taken in now shows the tool's standard error.

--- a/tests/test_flow_engine.py
+++ b/tests/test_flow_engine.py
@@ -123,6 +123,9 @@
                  wire.Step("b", "tool", [wire.StepInput("x", ["a/out"])], ["out"])))
     with pytest.raises(FlowError, match="runs itself"):
         graph(of(wire.Step("a", "main", [], [])))
+    deep = {f"w{i}": wire.Workflow([], [], [wire.Step(n, f"w{i + 1}", []) for n in "ab"]) for i in range(25)}
+    with pytest.raises(FlowError, match="20000 steps"):
+        graph(wire.Plan("w0", deep | {"w25": wire.Workflow([], [], [wire.Step("a", "tool", [])]), "tool": TOOL}))
     assert critical({"a": Node("a", "t", wire.Hints(run_s=9.0), False),
                      "b": Node("b", "t", wire.Hints(run_s=1.0), False, {"a"})}) == ["a", "b"]
 
--- a/winglift/cli/flow.py
+++ b/winglift/cli/flow.py
@@ -152,7 +152,7 @@
     async def work() -> int:
         nodes = Server(server)
         reply = await _submit(found, nodes, ref, team, due, reuse, files)
-        click.echo(f"{reply.ref} is accepted", err=True)
+        click.echo(f"{reply.ref} is accepted; it goes on without this command", err=True)
         with display() as shown:
             next_look = 0.0
             while reply.state is FlowState.OPEN:
--- a/winglift/cli/trial.py
+++ b/winglift/cli/trial.py
@@ -7,6 +7,7 @@
 import logging
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -42,12 +43,18 @@
         except ServerError as err:
             print(f"winglift: {err}", file=sys.stderr)
             return 1
+        except (KeyboardInterrupt, asyncio.CancelledError):
+            return 0
 
 
 async def _serve(stage: Any, folder: pathlib.Path, count: int, demo: bool) -> int:
     # Workers and nodes end together here: what they say of one another then is of no use.
     logging.getLogger("tornado.application").setLevel(logging.CRITICAL)
     flows = importlib.util.find_spec("quickjs") is not None
+    # A signal ends what was started here too.
+    me = asyncio.current_task()
+    assert me is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, me.cancel)
     made = stage.Stage(folder, count, flows)
     environment = os.environ | {"PYTHONPATH": os.pathsep.join(p for p in sys.path if p), "LOG_LEVEL":
                                 os.environ.get("LOG_LEVEL", "error")}
--- a/winglift/cwl/convert.py
+++ b/winglift/cwl/convert.py
@@ -20,6 +20,7 @@
     def __init__(self, file: str, place: Place, resolver: Resolver) -> None:
         self.processes: dict[str, wire.Process] = {}
         self.sources: dict[str, str] = {}  # process: the file in which it stands
+        self._scripts: set[str] = set()  # workflows of which a step asks for JavaScript
         self._place = place
         self._resolver = resolver
         self._main = file
@@ -140,8 +141,8 @@
         for step in steps:
             for sink in step.inputs:
                 check_links(sink.source, known, place("steps", step.name, sink.name), f"{step.name}/{sink.name}")
-        return wire.Workflow([self._param(p, place, file) for p in flow.inputs], outputs, steps, needs.javascript,
-                             needs.library, hints)
+        return wire.Workflow([self._param(p, place, file) for p in flow.inputs], outputs, steps,
+                             needs.javascript or key in self._scripts, needs.library, hints)
 
     def _step(self, flow: Any, step: Any, key: str, needs: Needs, place: Any, file: str) -> wire.Step:
         name = short(step.id)
@@ -151,6 +152,8 @@
 
         inside = needs.under(step, here)
         hints, _ = own_hints(step, here)
+        if inside.javascript:
+            self._scripts.add(key)
         target = f"{key}/{name}"
         if isinstance(step.run, str):
             try:
--- a/winglift/flows/graph.py
+++ b/winglift/flows/graph.py
@@ -41,6 +41,10 @@
         assert isinstance(process, Workflow)
         if key in outer:
             raise FlowError(f"{path or 'the workflow'}: a workflow runs itself")
+        # A few lines can describe a graph that no memory holds: two steps a level, each running the next level.
+        if len(outer) > c.FLOW_DEPTH or len(nodes) + len(process.steps) > c.FLOW_STEPS_MOST:
+            raise FlowError(f"{path}: more than {c.FLOW_DEPTH} workflows inside one another, "
+                            f"or {c.FLOW_STEPS_MOST} steps")
         behind = {p.name: given.get(p.name, set()) for p in process.inputs}
         own = process.hints.over(hints)
         missing = {step.name: {s for i in step.inputs for s in i.source if s not in behind} for step in process.steps}
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -320,7 +320,10 @@
             await asyncio.sleep(0)
         made = builder(self.engine, found.leaf, place)
         made.build()
-        return made.collect(item.found)
+        try:
+            return made.collect(item.found)
+        except FlowError as err:
+            raise StepFailed(str(err), item.found.errors) from None
 
     async def _check_failures(self, found: Open, part: Part) -> None:
         """A command that fails on one machine may be the machine's fault; on several it is its own."""
--- a/winglift/flows/service.py
+++ b/winglift/flows/service.py
@@ -71,7 +71,7 @@
         """The steps of a plan; raises Invalid, FlowError, FilesError."""
         if plan not in self._graphs:
             self._graphs[plan] = graph(wire.parse_plan(await self.files.get(plan)))
-            while len(self._graphs) > c.EXPRESSION_CONTEXTS:
+            while len(self._graphs) > 1 and sum(map(len, self._graphs.values())) > c.FLOW_STEPS_MOST:
                 self._graphs.popitem(last=False)
         return self._graphs[plan]
 
