Wide workflows are followed a few steps at a time

A fan of 10,000 steps held the leader for 0.54 s when it was loaded: reading the plan, laying it open and preparing all steps in one go. Plans are now read in a thread and steps followed 50 at a time.

--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -176,6 +176,7 @@
 FLOW_FAILED_ON = 2  # machines on which a command must have failed until the step has: one may be the machine's fault
 FLOW_ERRORS_BYTES = 1000  # bytes of a tool's standard error, and of a cause, that a record keeps
 FLOW_PATH_BYTES = 300  # bytes of a step's path in its record; longer ones are refused
+FLOW_STEPS_AT_ONCE = 50  # steps that are followed before the leader's other work goes on: some 5 ms
 FLOW_DEPTH = 30  # workflows inside one another
 FLOW_STEPS_MOST = 20_000  # steps of a workflow with its subworkflows laid open; 10,000 take a leader 19 MB
 FLOW_ESTIMATE_S = 60.0  # s; run time of a step that names none
--- a/winglift/cwl/load.py
+++ b/winglift/cwl/load.py
@@ -4,6 +4,7 @@
 
 import pathlib
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -183,7 +184,7 @@
 def _try_start(checked: Checked) -> None:
     """Begin the workflow as the leader would: what can be known of its first steps is known now."""
     engine = Engine(checked.plan, checked.order, Engines(CHECK_S))
-    call = engine.start
+    call: Callable[[], object] = engine.start
     while True:
         try:
             call()
--- a/winglift/flows/engine.py
+++ b/winglift/flows/engine.py
@@ -117,15 +117,19 @@
             raise FlowError("the plan's main process is no workflow")
         self._open(self.plan.main, "", self.order, Hints(), None)
 
-    def go(self) -> None:
-        """Follow all that is known. Raises Needs, FlowError; after Needs it is called again with the content there."""
-        while self._queue:
+    def go(self, most: int | None = None) -> bool:
+        """Follow what is known, up to so many steps; is there more? Raises Needs, FlowError; after Needs it is called
+        again with the content there."""
+        looked = 0
+        while self._queue and (most is None or looked < most):
+            looked += 1
             try:
                 self._prepare(self._queue[0])
             except FlowError:
                 self._queue.popleft()
                 raise
             self._queue.popleft()
+        return bool(self._queue)
 
     def take(self) -> list[Leaf]:
         found, self._ready = self._ready, []
--- a/winglift/flows/graph.py
+++ b/winglift/flows/graph.py
@@ -7,7 +7,7 @@
 
 from .. import constants as c
 from ..policy.split import split_deadline
-from ..wire.flows import Hints, Plan, Step, Tool, Workflow
+from ..wire.flows import Hints, Plan, Step, Tool, Workflow, parse_plan
 from .values import FlowError
 
 
@@ -83,6 +83,12 @@
     return nodes
 
 
+def lay_open(content: bytes) -> tuple[Plan, dict[str, Node]]:
+    """A plan and its graph. A large one takes a tenth of a second: nodes call this in a thread."""
+    plan = parse_plan(content)
+    return plan, graph(plan)
+
+
 def plain(path: str) -> str:
     """The path without numbers of scattered subworkflows: "a[3]/b" is an instance of "a/b"."""
     return "/".join(part.partition("[")[0] for part in path.split("/"))
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -24,11 +24,11 @@
 from ..model.job import JobState
 from ..store.client import Refused
 from ..wire import state as wire
-from ..wire.flows import Expression, FlowState, FoundItem, How, Tool, parse_plan
+from ..wire.flows import Expression, FlowState, FoundItem, How, Tool
 from . import records
 from .engine import Engine, Leaf, Needs
 from .files import FilesError
-from .graph import Division, Node, graph, plain
+from .graph import Division, Node, lay_open, plain
 from .leader import Leader, StepFailed, Superseded
 from .parts import Part, builder, key_of, parts, submission
 from .values import FlowError
@@ -71,11 +71,10 @@
 
     async def load(self) -> None:
         leader, sub = self.leader, self.head.sub
-        plan = parse_plan(await leader.files.get(sub.plan))
+        plan, self.nodes = await asyncio.to_thread(lay_open, await leader.files.get(sub.plan))
         order = msgspec.json.decode(await leader.files.get(sub.order))
         if not isinstance(order, dict):
             raise FlowError("the order is no object")
-        self.nodes = graph(plan)
         self._division = Division(self.nodes)
         for flow, found in ((self.ref, self.records), (sub.reuse, self.reuse)):
             if flow is not None:
@@ -91,15 +90,18 @@
         # Which of these were submitted by an earlier leader, only their records tell.
         self._doubtful = {leaf.path for leaf in self.waiting}
 
-    async def _follow(self, call: Callable[[], None]) -> None:
+    async def _follow(self, call: Callable[[], object] | None = None) -> None:
         """Let the engine go on, with the contents that it asks for; what can run then lies in the inbox."""
         assert self.engine is not None
         try:
             while True:
                 try:
-                    call()
-                    call = self.engine.go
-                    call()
+                    if call is not None:
+                        call()
+                        call = None
+                    # A wide graph has thousands of steps at once: the leader's other work goes on in between.
+                    while self.engine.go(c.FLOW_STEPS_AT_ONCE):
+                        await asyncio.sleep(0)
                     return
                 except Needs as need:
                     content = await self.leader.files.get(need.digest)
@@ -111,7 +113,11 @@
 
     async def _settle(self) -> None:
         """Sort what can run into what has ended already, and so leads on, and what is to be run."""
+        looked = 0
         while self._inbox:
+            looked += 1
+            if looked % c.FLOW_STEPS_AT_ONCE == 0:
+                await asyncio.sleep(0)
             leaf = self._inbox.popleft()
             record = self.records.get(leaf.path)
             if record is None or record.how is How.FAILED:
@@ -135,7 +141,7 @@
         self._dues = None
         self._machines.setdefault(path, set()).update(record.machines)
         self.engine.end(leaf, results)
-        await self._follow(self.engine.go)
+        await self._follow()
 
     # -- committing ----------------------------------------------------------------------------
 
@@ -178,7 +184,7 @@
     async def step(self) -> None:
         """One look: steps that are ready are submitted, ended ones recorded. Raises FlowError where it must fail."""
         assert self.engine is not None
-        await self._follow(self.engine.go)
+        await self._follow()
         await self._settle()
         while self.waiting and sum(len(o.parts) for o in self.open.values()) < self.leader.open_jobs:
             leaf = self.waiting.popleft()
@@ -348,7 +354,7 @@
         while self.engine is not None:
             # Steps behind one that can't be prepared may have been submitted by an earlier leader.
             try:
-                await self._follow(self.engine.go)
+                await self._follow()
                 await self._settle()
                 break
             except FlowError as err:
--- a/winglift/flows/service.py
+++ b/winglift/flows/service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections import OrderedDict
@@ -22,7 +23,7 @@
 from .driver import Driver
 from .expressions import Engines
 from .files import Files, FilesError, Missing
-from .graph import Node, graph, plain
+from .graph import Node, lay_open, plain
 from .settings import FlowSettings
 from .values import FlowError, job_ref
 
@@ -70,7 +71,7 @@
     async def _graph(self, plan: str) -> dict[str, Node]:
         """The steps of a plan; raises Invalid, FlowError, FilesError."""
         if plan not in self._graphs:
-            self._graphs[plan] = graph(wire.parse_plan(await self.files.get(plan)))
+            self._graphs[plan] = (await asyncio.to_thread(lay_open, await self.files.get(plan)))[1]
             while len(self._graphs) > 1 and sum(map(len, self._graphs.values())) > c.FLOW_STEPS_MOST:
                 self._graphs.popitem(last=False)
         return self._graphs[plan]
