A step submits only what a user could; a client's death and damaged plans as tests

A plan is a user's text: a negative run time or a long name in it went into a job's record unchecked, and a record that the state service refuses would have been tried for ever. Steps now pass the same check as submissions, and what is refused for its form fails the workflow.

--- a/tests/test_flow_engine.py
+++ b/tests/test_flow_engine.py
@@ -17,16 +17,19 @@
 from standins.flow_leader import Direct, Leads, Uploads
 from standins.state import StateService
 from winglift.flows import records
+from winglift.flows.command import Size
 from winglift.flows.engine import Engine
 from winglift.flows.expressions import Endless, Engines, Evaluator, ExpressionError
 from winglift.flows.graph import Node, critical, divide, graph
 from winglift.flows.leader import Superseded
+from winglift.flows.parts import Part, submission
 from winglift.flows.run import Run
 from winglift.flows.values import FlowError
 from winglift.policy.split import split_deadline
 from winglift.store.client import Refused, Unknown
 from winglift.wire import flows as wire
 from winglift.wire import state
+from winglift.wire.users import Invalid
 
 # -- graphs --------------------------------------------------------------------------------------
 
@@ -234,6 +237,16 @@
     asyncio.run(scenario())
 
 
+def test_a_step_submits_nothing_that_a_user_could_not():
+    part = Part("wk-1", Size(1.0, 0.0, 1.0), [0], [])
+    assert submission(part, TOOL, wire.Hints(priority="urgent", run_s=3.0), "red", 9.0, "a").estimate_s == 3.0
+    for tool, hints in ((TOOL, wire.Hints(run_s=-1.0)), (TOOL, wire.Hints(priority="soon")),
+                        (TOOL, wire.Hints(job_class="x" * 200)),
+                        (msgspec.structs.replace(TOOL, image="x" * 200), wire.Hints())):
+        with pytest.raises(FlowError, match=r"^a: "):
+            submission(part, tool, hints, "red", 9.0, "a")
+
+
 # -- expressions -----------------------------------------------------------------------------------
 
 NAMES = {"inputs": {"a": 1, "b": [1, 2], "c": {"d e": "x"}, "f": {"class": "File", "path": "/p"}}, "self": None,
@@ -269,3 +282,31 @@
         with pytest.raises(ExpressionError):
             evaluate(text, NAMES)
     assert evaluate("$(inputs.a + 1)", NAMES) == 2
+
+
+# -- what arrives over the wire --------------------------------------------------------------------
+
+JUNK = st.sampled_from([None, 0, -1.5, "", "s0/out", [], {}, ["one"], {"type": "tool"}, True])
+
+
+@given(plans(), st.data())
+def test_a_damaged_plan_or_submission_is_refused_and_nothing_else_happens(plan, data):
+    value = msgspec.json.decode(wire.encode(plan))
+    at = value
+    while True:  # somewhere in it, a value is replaced
+        keys = list(at) if isinstance(at, dict) else list(range(len(at)))
+        key = data.draw(st.sampled_from(keys))
+        if isinstance(at[key], dict | list) and at[key] and data.draw(st.booleans()):
+            at = at[key]
+        else:
+            at[key] = data.draw(JUNK)
+            break
+    try:
+        graph(wire.parse_plan(msgspec.json.encode(value)))
+    except (Invalid, FlowError) as err:
+        assert str(err)
+    body = {"ref": "fl-1", "team": "t", "plan": "0" * 64, "order": "1" * 64, "due_s": 5.0}
+    assert wire.parse_submission(msgspec.json.encode(body)).due_s == 5.0
+    field = data.draw(st.sampled_from([f for f in body if f != "due_s"]))
+    with pytest.raises(Invalid):
+        wire.parse_submission(msgspec.json.encode(body | {field: data.draw(JUNK.filter(lambda j: j != "s0/out"))}))
--- a/tests/test_flows.py
+++ b/tests/test_flows.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import pathlib
+import sys
 from collections import Counter
 from typing import Any
 
@@ -15,7 +16,8 @@
 from winglift.cwl.load import Checked, check
 from winglift.wire import flows as wire
 
-CWL = pathlib.Path(__file__).parent / "cwl"
+ROOT = pathlib.Path(__file__).parent.parent
+CWL = ROOT / "tests" / "cwl"
 
 
 def read(tmp_path: pathlib.Path, name: str, order: dict[str, Any]) -> Checked:
@@ -163,6 +165,22 @@
     asyncio.run(scenario())
 
 
+def test_a_workflow_goes_on_when_its_client_is_killed(tmp_path):
+    async def scenario() -> None:
+        async with flow_world(tmp_path) as w:
+            order = tmp_path / "order.yml"
+            order.write_text("x: a\n")
+            client = await asyncio.create_subprocess_exec(
+                sys.executable, str(ROOT / "run.py"), "flow", "run", "--server", w.stage.addresses[0], "--team", "team",
+                "--id", "fl-1", str(CWL / "chain.cwl"), str(order), stderr=asyncio.subprocess.PIPE)
+            assert client.stderr is not None
+            assert b"fl-1 is accepted" in await client.stderr.readline()
+            client.kill()
+            await client.wait()
+            assert await w.outputs("fl-1") == {"last": "a !"}
+    asyncio.run(scenario())
+
+
 def test_steps_come_in_pages_and_an_outage_of_the_uploads_only_delays(tmp_path):
     async def scenario() -> None:
         async with flow_world(tmp_path) as w:
--- a/winglift/flows/engine.py
+++ b/winglift/flows/engine.py
@@ -83,6 +83,7 @@
     """A workflow that runs: the whole, or an element of a step that runs a workflow."""
 
     path: str
+    key: str  # of its process
     workflow: Workflow
     values: dict[str, Any]
     hints: Hints
@@ -166,7 +167,7 @@
               parent: tuple[Instance, int] | None) -> None:
         workflow = self.plan.processes[key]
         assert isinstance(workflow, Workflow)
-        frame = Frame(path, workflow, self._check(workflow.inputs, inputs, path), workflow.hints.over(hints), parent,
+        frame = Frame(path, key, workflow, self._check(workflow.inputs, inputs, path), workflow.hints.over(hints), parent,
                       len(workflow.steps))
         for step in workflow.steps:
             here = f"{path}/{step.name}" if path else step.name
@@ -222,9 +223,6 @@
         except ExpressionError as err:
             raise FlowError(f"{where}: {err}") from None
 
-    def _key(self, frame: Frame) -> str:
-        return next(k for k, p in self.plan.processes.items() if p is frame.workflow)
-
     def _load(self, value: Any) -> Any:
         """Files with their contents."""
         for file in files_of(value):
@@ -259,7 +257,7 @@
             given[sink.name] = self._load(value) if sink.load else value
         rows, shape = ([given], None) if not step.scatter else scatter(step.scatter, step.method, given, node.path)
         process = self.plan.processes[step.run]
-        key = self._key(frame)
+        key = frame.key
         run: list[tuple[int, dict[str, Any]]] = []
         for place, row in enumerate(rows):
             inputs = dict(row)
--- a/winglift/flows/expressions.py
+++ b/winglift/flows/expressions.py
@@ -66,7 +66,7 @@
         elif text[i] == "\\" and text[i + 1:i + 2] == "\\":
             plain += "\\"
             i += 2
-        elif text[i] == "$" and text[i + 1:i + 2] in ("(", "{") and text[i + 1:i + 2]:
+        elif text[i:i + 2] in ("$(", "${"):
             if plain:
                 found.append((False, plain))
                 plain = ""
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -22,7 +22,7 @@
 from ..api.jobs import feasible
 from ..model import records as job_records
 from ..model.job import JobState
-from ..store.client import Refused
+from ..store.client import Malformed, Refused
 from ..wire import state as wire
 from ..wire.flows import Expression, FlowState, FoundItem, How, Tool
 from . import records
@@ -151,7 +151,11 @@
         conditions = [leader.leadership(), wire.Condition(records.HEAD + self.ref, self.version)]
         if absent is not None:
             conditions.append(wire.Condition(absent, 0))
-        result = await leader.state.commit(wire.Transaction(conditions, changes))
+        try:
+            result = await leader.state.commit(wire.Transaction(conditions, changes))
+        except Malformed as err:
+            # It would be refused for ever.
+            raise FlowError(f"the state service does not take it: {err}") from None
         if isinstance(result, wire.Committed):
             if on_head:
                 self.version = result.revision
