--- a/winglift/flows/engine.py
+++ b/winglift/flows/engine.py
@@ -167,8 +167,8 @@
               parent: tuple[Instance, int] | None) -> None:
         workflow = self.plan.processes[key]
         assert isinstance(workflow, Workflow)
-        frame = Frame(path, key, workflow, self._check(workflow.inputs, inputs, path), workflow.hints.over(hints), parent,
-                      len(workflow.steps))
+        values = self._check(workflow.inputs, inputs, path)
+        frame = Frame(path, key, workflow, values, workflow.hints.over(hints), parent, len(workflow.steps))
         for step in workflow.steps:
             here = f"{path}/{step.name}" if path else step.name
             missing = {s for i in step.inputs for s in i.source if s not in frame.values}
