--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -90,6 +90,10 @@
         assert self.stage.processes is not None
         return self.stage.processes.runs
 
+    def tasks(self) -> set[str]:
+        """Tasks that were started, however often: on a machine that is busy elsewhere a worker's lease may run out."""
+        return {task for task, _, _ in self.starts()}
+
 
 @contextlib.asynccontextmanager
 async def flow_world(folder: pathlib.Path, nodes: int = 1) -> AsyncIterator[FlowWorld]:
