Reread of workflows: one scan, one refusal, one stage, heads written in one place

CWL files were read again, and walked a second time, to find documents that run one another; they were read anew for every expression's line; refusals of left-out features stood in five places, and plain data was made in two. Heads of workflows are written by one function, a step's results are packed once, a field that nothing read and a parameter that nothing used are gone, half of a constant no longer stands in the code. The tests' deployment and that of try were set up by twin code and share standins/trial.py.

Of what a controller without workflows loads only constants.py changed, in a value that it does not use.

--- a/standins/trial.py
+++ b/standins/trial.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import pathlib
+from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
@@ -21,31 +22,34 @@
 
 
 class Stage:
-    """Serves within the running event loop and writes the settings of `count` controllers; `more` is added to them."""
+    """Serves within the running event loop, for `count` controllers. Tasks run for as long as `run_s` says; with a
+    folder for them, described ones run as processes. `more` is added to the controllers' settings."""
 
-    def __init__(self, folder: pathlib.Path, count: int, flows: bool, run_s: float = 1.0,
+    def __init__(self, count: int, run_s: Callable[[str], float], tasks: pathlib.Path | None = None,
                  more: str = "") -> None:
         self.state, self.store = state.StateService(), files.Store()
-        self.processes = Processes(self.store, folder / "tasks") if flows else None
-        nodes = [(f"node-{i}", free_port(), free_port()) for i in range(count)]
-        self.addresses = [f"127.0.0.1:{port}" for _, port, _ in nodes]
-        self.cloud = cloud.Cloud([(name, f"127.0.0.1:{port}") for name, port, _ in nodes], lambda task: run_s,
-                                 self.processes)
+        self.processes = Processes(self.store, tasks) if tasks is not None else None
+        self.nodes = [(f"node-{i}", free_port(), free_port()) for i in range(count)]
+        self.addresses = [f"127.0.0.1:{port}" for _, port, _ in self.nodes]
+        self.cloud = cloud.Cloud([(name, f"127.0.0.1:{port}") for name, port, _ in self.nodes], run_s, self.processes)
+        self._more = more
         self._servers: list[HTTPServer] = []
-        ports = {"state": self._serve(state.application(self.state)),
-                 "cloud": self._serve(cloud.application(self.cloud))}
+        self._ports = {"state": self._serve(state.application(self.state)),
+                       "cloud": self._serve(cloud.application(self.cloud))}
         self.files = f"127.0.0.1:{self._serve(files.application(self.store))}"
-        self.workflows = folder / "workflows.toml"
-        self.workflows.write_text(f'files = "{self.files}"\n')
-        self.configs = []
-        for name, port, back in nodes:
-            text = TEMPLATE.format(port=port, back=back, **ports).replace("node-0", name)
-            text = text.replace("nodes = 1", f"nodes = {count}")
-            text += "".join(f'\n[[seeds]]\nnode = "{n}"\nzone = "a"\naddr = "127.0.0.1:{b}"\n'
-                            for n, _, b in nodes if n != name)
-            text += more
-            self.configs.append(folder / f"{name}.toml")
-            self.configs[-1].write_text(text)
+
+    def settings(self, number: int) -> str:
+        """The settings file of a controller."""
+        name, port, back = self.nodes[number]
+        text = TEMPLATE.format(port=port, back=back, **self._ports).replace("node-0", name)
+        text = text.replace("nodes = 1", f"nodes = {len(self.nodes)}")
+        text += "".join(f'\n[[seeds]]\nnode = "{n}"\nzone = "a"\naddr = "127.0.0.1:{b}"\n'
+                        for n, _, b in self.nodes if n != name)
+        return text + self._more
+
+    def workflows(self) -> str:
+        """The file that switches workflows on."""
+        return f'files = "{self.files}"\n'
 
     def _serve(self, application: Application) -> int:
         sockets = bind_sockets(0, "127.0.0.1")
--- a/tests/flow_world.py
+++ b/tests/flow_world.py
@@ -27,15 +27,15 @@
 
 class FlowWorld:
     def __init__(self, folder: pathlib.Path, nodes: int) -> None:
-        self.stage = Stage(folder, nodes, True, run_s=0.2, more=OTHER)
+        self.stage = Stage(nodes, lambda task: 0.2, folder / "tasks", OTHER)
         self.server = Server(",".join(self.stage.addresses))
         self.files = Files(*conf.parse_addr(self.stage.files, "files"))
         self.nodes: dict[int, tuple[Node, asyncio.Task]] = {}
         self.flows: dict[int, Flows] = {}
 
     def start(self, number: int) -> None:
-        node = Node(conf.load(str(self.stage.configs[number])))
-        self.flows[number] = Flows(flow_settings.load(str(self.stage.workflows)), node)
+        node = Node(conf.parse(self.stage.settings(number)))
+        self.flows[number] = Flows(flow_settings.parse(self.stage.workflows()), node)
         node.extend(self.flows[number])
         self.nodes[number] = node, asyncio.ensure_future(node.run())
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -12,55 +12,27 @@
 import pytest
 from helpers import WIRE
 from tornado.httpclient import AsyncHTTPClient
-from tornado.httpserver import HTTPServer
-from tornado.netutil import bind_sockets
-from tornado.testing import bind_unused_port
 
-from standins import cloud as cloud_standin
-from standins import state as state_standin
-from standins.__main__ import TEMPLATE
+from standins.trial import Stage
 from winglift.config import settings as conf
 from winglift.node import Node
 
 PATIENCE_S = 20.0  # far above what is needed: a slow machine must not change the verdict
 
 
-def free_port() -> int:
-    sock, port = bind_unused_port()
-    sock.close()
-    return port
-
-
 class World:
     """State service, cloud with its workers, and nodes, all in this process."""
 
     def __init__(self, nodes: int, run_s: float) -> None:
-        self.state = state_standin.StateService()
-        self.addresses = [(f"node-{i}", free_port(), free_port()) for i in range(nodes)]
-        controllers = [(n, f"127.0.0.1:{p}") for n, p, _ in self.addresses]
         # Tasks of wk-3 stand for a service: they run until they are stopped.
-        self.cloud = cloud_standin.Cloud(controllers, lambda task: 60.0 if task.startswith("wk-3/") else run_s)
+        self.stage = Stage(nodes, lambda task: 60.0 if task.startswith("wk-3/") else run_s)
+        self.state, self.cloud, self.addresses = self.stage.state, self.stage.cloud, self.stage.nodes
         self.nodes: dict[str, tuple[Node, asyncio.Task]] = {}
         self.client = AsyncHTTPClient()
-        self.servers: list[HTTPServer] = []
-        self.ports = {"state": self._serve(state_standin.application(self.state)),
-                      "cloud": self._serve(cloud_standin.application(self.cloud))}
-
-    def _serve(self, application: Any) -> int:
-        sockets = bind_sockets(0, "127.0.0.1")
-        server = HTTPServer(application)
-        server.add_sockets(sockets)
-        self.servers.append(server)
-        return sockets[0].getsockname()[1]
 
     def start(self, index: int) -> Node:
-        name, port, back = self.addresses[index]
-        text = TEMPLATE.format(port=port, back=back, **self.ports).replace("node-0", name)
-        text = text.replace("nodes = 1", f"nodes = {len(self.addresses)}")
-        text += "".join(f'[[seeds]]\nnode = "{n}"\nzone = "a"\naddr = "127.0.0.1:{b}"\n'
-                        for n, _, b in self.addresses if n != name)
-        node = Node(conf.parse(text))
-        self.nodes[name] = (node, asyncio.ensure_future(node.run()))
+        node = Node(conf.parse(self.stage.settings(index)))
+        self.nodes[self.addresses[index][0]] = (node, asyncio.ensure_future(node.run()))
         return node
 
     def kill(self, name: str) -> None:
@@ -115,9 +87,7 @@
     finally:
         for name in list(made.nodes):
             made.kill(name)
-        made.cloud.delete(list(made.cloud.machines))
-        for server in made.servers:
-            server.stop()
+        await made.stage.stop()
 
 
 def job(ref: str, **changes: Any) -> dict[str, Any]:
--- a/winglift/cli/flow.py
+++ b/winglift/cli/flow.py
@@ -200,7 +200,7 @@
         listing = [await _save(v, path, store, taken) for v in value.get("listing") or []]
         return value | {"location": path.resolve().as_uri(), "path": str(path.resolve()), "listing": listing}
     folder.mkdir(parents=True, exist_ok=True)
-    path.write_bytes(await store.get(value["location"].removeprefix("sha256:")))
+    path.write_bytes(await store.get(value["location"].removeprefix(wire.UPLOAD)))
     return value | {"location": path.resolve().as_uri(), "path": str(path.resolve())}
 
 
--- a/winglift/cli/trial.py
+++ b/winglift/cli/trial.py
@@ -55,14 +55,18 @@
     me = asyncio.current_task()
     assert me is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, me.cancel)
-    made = stage.Stage(folder, count, flows)
+    made = stage.Stage(count, lambda task: 1.0, folder / "tasks" if flows else None)
+    workflows = folder / "workflows.toml"
+    workflows.write_text(made.workflows())
     environment = os.environ | {"PYTHONPATH": os.pathsep.join(p for p in sys.path if p), "LOG_LEVEL":
                                 os.environ.get("LOG_LEVEL", "error")}
     processes = []
     try:
-        for config in made.configs:
+        for number in range(count):
+            config = folder / f"node-{number}.toml"
+            config.write_text(made.settings(number))
             command = [sys.executable, "-m", "winglift", "serve", "--config", str(config)]
-            command += ["--workflows", str(made.workflows)] if flows else []
+            command += ["--workflows", str(workflows)] if flows else []
             processes.append(await asyncio.create_subprocess_exec(*command, env=environment))
         server = Server(",".join(made.addresses), c.TRY_PATIENCE_S)
         await _healthy(server, processes)
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -182,7 +182,7 @@
 FLOW_ESTIMATE_S = 60.0  # s; run time of a step that names none
 FLOW_STEPS_SHOWN = 50  # steps in one answer: with their paths and jobs they stay below the protocol's 64 KiB
 FLOW_LISTED = 20  # workflows in one answer, with causes and errors below 64 KiB
-FLOW_WRITES_KEPT = 0.3  # of the changes a second that the driver leaves for starts, ends and users
+FLOW_WRITES_KEPT = 0.15  # of the changes a second that the driver leaves for starts, ends and users
 FILES_TIMEOUT_S = 10.0  # s for one transfer from or to the store of uploads
 LOAD_CONTENTS_BYTES = 64 * 1024  # CWL's bound of loadContents
 
--- a/winglift/cwl/convert.py
+++ b/winglift/cwl/convert.py
@@ -13,7 +13,7 @@
 from .errors import CwlError, Place, Unsupported, said
 from .needs import Needs, image, initial, own_hints, resources, time_limit, variables
 from .order import Resolver
-from .types import binding, inner_bindings, is_cwl, kind, short
+from .types import LEFT, binding, inner_bindings, is_cwl, kind, plain, refuse, short
 
 
 class Converter:
@@ -65,11 +65,7 @@
     def _param(self, param: Any, place: Any, file: str) -> wire.Param:
         name = short(param.id)
         where = place("inputs", name)
-        for feature in ("secondaryFiles", "format"):
-            if getattr(param, feature, None):
-                raise Unsupported(f"{place('inputs', name, feature)}: {feature}")
-        if getattr(param, "loadListing", None) not in (None, "no_listing"):
-            raise Unsupported(f"{place('inputs', name, 'loadListing')}: loadListing")
+        refuse(param, (*LEFT, "loadListing"), place, "inputs", name)
         found = "File" if param.type_ == "stdin" else param.type_
         items, fields = inner_bindings(found, where)
         shown = getattr(param, "inputBinding", None)
@@ -81,9 +77,7 @@
     # -- tools ---------------------------------------------------------------------------------
 
     def _tool(self, tool: Any, needs: Needs, place: Any, file: str) -> wire.Tool:
-        for feature in ("temporaryFailCodes", "permanentFailCodes"):
-            if getattr(tool, feature, None):
-                raise Unsupported(f"{place(feature)}: {feature}")
+        refuse(tool, ("temporaryFailCodes", "permanentFailCodes"), place)
         hints, gpus = own_hints(tool, place)
         stdin = tool.stdin
         for param in tool.inputs:
@@ -94,17 +88,14 @@
         for out in tool.outputs:
             name = short(out.id)
             where = place("outputs", name)
-            for feature in ("secondaryFiles", "format"):
-                if getattr(out, feature, None):
-                    raise Unsupported(f"{place('outputs', name, feature)}: {feature}")
+            refuse(out, LEFT, place, "outputs", name)
             if isinstance(out.type_, str) and out.type_ in streams:
                 streams[out.type_] = streams[out.type_] or f"{name}.{out.type_}"
                 outputs.append(wire.Output(name, "File", [streams[out.type_]]))
                 continue
             shown = out.outputBinding
             globs = [] if shown is None or shown.glob is None else shown.glob
-            if shown is not None and getattr(shown, "loadListing", None) not in (None, "no_listing"):
-                raise Unsupported(f"{place('outputs', name, 'loadListing')}: loadListing")
+            refuse(shown, ("loadListing",), place, "outputs", name)
             outputs.append(wire.Output(name, kind(out.type_, where), [globs] if isinstance(globs, str) else list(globs),
                                        bool(shown is not None and shown.loadContents),
                                        None if shown is None else shown.outputEval))
@@ -115,7 +106,7 @@
             inputs=[self._param(p, place, file) for p in tool.inputs], outputs=outputs,
             base=[base] if isinstance(base, str) else list(base), arguments=[a for a in arguments if a is not None],
             stdin=stdin, stdout=streams["stdout"], stderr=streams["stderr"],
-            success=list(tool.successCodes or [0]), env=variables(needs), staged=initial(needs, place, plain),
+            success=list(tool.successCodes or [0]), env=variables(needs), staged=initial(needs, place),
             gpus=gpus if gpus is not None else 0.0, time_s=time_limit(needs), image=image(needs, place),
             javascript=needs.javascript, library=needs.library, hints=hints, **resources(needs, place))
 
@@ -130,9 +121,7 @@
         outputs = []
         for out in flow.outputs:
             name = short(out.id)
-            for feature in ("secondaryFiles", "format"):
-                if getattr(out, feature, None):
-                    raise Unsupported(f"{place('outputs', name, feature)}: {feature}")
+            refuse(out, LEFT, place, "outputs", name)
             source = links(out.outputSource, flow.id)
             outputs.append(wire.FlowOutput(name, kind(out.type_, place("outputs", name)), source,
                                            isinstance(out.outputSource, list), out.linkMerge or "merge_nested",
@@ -163,8 +152,7 @@
         self.process(step.run, target, inside.step(), file)
         inputs = []
         for sink in step.in_:
-            if getattr(sink, "loadListing", None) not in (None, "no_listing"):
-                raise Unsupported(f"{here('loadListing')}: loadListing")
+            refuse(sink, ("loadListing",), here)
             default = None if sink.default is None else self._resolver.value(plain(sink.default), file, here())
             inputs.append(wire.StepInput(short(sink.id), links(sink.source, flow.id), isinstance(sink.source, list),
                                          sink.linkMerge or "merge_nested", sink.pickValue, default, sink.valueFrom,
@@ -206,14 +194,3 @@
             step = source.partition("/")[0]
             what = f"no output {source}" if any(k.startswith(f"{step}/") for k in known) else f"no step or input {step}"
             raise CwlError(f"{where}: {sink} takes {source}: {what}")
-
-
-def plain(value: Any) -> Any:
-    """A default as plain data."""
-    if hasattr(value, "save"):
-        return plain(value.save())
-    if isinstance(value, dict):
-        return {str(k): plain(v) for k, v in value.items()}
-    if isinstance(value, list):
-        return [plain(v) for v in value]
-    return value
--- a/winglift/cwl/errors.py
+++ b/winglift/cwl/errors.py
@@ -14,20 +14,28 @@
 
     def at(self, file: str, *tokens: str) -> str:
         """"file:line" of the last of the tokens, each looked for below the one before; the file alone if none is."""
-        if file not in self._lines:
-            try:
-                self._lines[file] = pathlib.Path(file).read_text(encoding="utf-8").splitlines()
-            except (OSError, UnicodeDecodeError):
-                self._lines[file] = []
+        lines = self._read(file)
         found = None
         for token in tokens:
             pattern = re.compile(rf"(?<![\w.]){re.escape(token)}(?!\w)")
-            for number in range(found or 0, len(self._lines[file])):
-                if pattern.search(self._lines[file][number].split(" #")[0]):
+            for number in range(found or 0, len(lines)):
+                if pattern.search(lines[number].split(" #")[0]):
                     found = number
                     break
         return file if found is None else f"{file}:{found + 1}"
 
+    def holding(self, file: str, text: str) -> str | None:
+        """"file:line" of the first line that holds a text as it stands."""
+        return next((f"{file}:{n}" for n, line in enumerate(self._read(file), 1) if text in line), None)
+
+    def _read(self, file: str) -> list[str]:
+        if file not in self._lines:
+            try:
+                self._lines[file] = pathlib.Path(file).read_text(encoding="utf-8").splitlines()
+            except (OSError, UnicodeDecodeError):
+                self._lines[file] = []
+        return self._lines[file]
+
 
 class CwlError(Exception):
     """A document or an order that is wrong: exit code 1."""
--- a/winglift/cwl/load.py
+++ b/winglift/cwl/load.py
@@ -24,6 +24,7 @@
 from .errors import CwlError, Place, Unsupported, said
 from .links import check_types
 from .order import Resolver, read_order
+from .types import plain
 
 CHECK_S = 0.5  # s of processor time for one expression when files are checked
 
@@ -36,21 +37,9 @@
     blobs: dict[str, bytes]
 
 
-def builtin(value: Any) -> Any:
-    """A value of the YAML reader, whose texts and numbers remember how they were written, as plain data."""
-    if isinstance(value, dict):
-        return {str(k): builtin(v) for k, v in value.items()}
-    if isinstance(value, list):
-        return [builtin(v) for v in value]
-    for kind in (str, bool, int, float):
-        if isinstance(value, kind):
-            return kind(value)
-    return value
-
-
 def read_yaml(file: str) -> Any:
     try:
-        return builtin(yaml_no_ts().load(pathlib.Path(file).read_text(encoding="utf-8")))
+        return plain(yaml_no_ts().load(pathlib.Path(file).read_text(encoding="utf-8")))
     except (OSError, UnicodeDecodeError) as err:
         raise CwlError(f"{file}: can't be read: {getattr(err, 'strerror', None) or err}") from None
     except YAMLError as err:
@@ -59,11 +48,11 @@
         raise CwlError(f"{where}: not YAML: {getattr(err, 'problem', None) or err}") from None
 
 
-def _inside(value: Any, file: str, place: Place, seen: set[str]) -> None:
+def _inside(value: Any, file: str, place: Place, seen: set[str], outer: tuple[str, ...]) -> None:
     """Refuse by name whatever a document would have fetched from elsewhere, before anything reads it."""
     if isinstance(value, list):
         for one in value:
-            _inside(one, file, place, seen)
+            _inside(one, file, place, seen, outer)
     if not isinstance(value, dict):
         return
     for key, found in value.items():
@@ -79,12 +68,15 @@
                 other = str((pathlib.Path(file).parent / path).resolve())
                 if not pathlib.Path(other).is_file():
                     raise CwlError(f"{place.at(file, found)}: run: no file {found}")
-                _scan(other, place, seen)
+                _scan(other, place, seen, outer)
         else:
-            _inside(found, file, place, seen)
+            _inside(found, file, place, seen, outer)
 
 
-def _scan(file: str, place: Place, seen: set[str]) -> None:
+def _scan(file: str, place: Place, seen: set[str], outer: tuple[str, ...] = ()) -> None:
+    """Look a document through, and those that it runs. Ones that run one another for ever would be read for ever."""
+    if file in outer:
+        raise CwlError(f"{file}: the workflow runs itself")
     if file in seen:
         return
     seen.add(file)
@@ -96,28 +88,7 @@
         raise Unsupported(f"{place.at(file, 'cwlVersion')}: cwlVersion {version}; v1.2 is supported")
     if "$graph" in found:
         raise Unsupported(f"{place.at(file, '$graph')}: $graph")
-    _inside(found, file, place, seen)
-
-
-def _circle(file: str, seen: tuple[str, ...]) -> None:
-    """Documents that run one another for ever would be read for ever."""
-    if file in seen:
-        raise CwlError(f"{file}: the workflow runs itself")
-
-    def walk(value: Any) -> None:
-        if isinstance(value, dict):
-            for key, found in value.items():
-                if key == "run" and isinstance(found, str):
-                    other = found.removeprefix("file://").partition("#")[0]
-                    if other:
-                        _circle(str((pathlib.Path(file).parent / other).resolve()), (*seen, file))
-                else:
-                    walk(found)
-        elif isinstance(value, list):
-            for one in value:
-                walk(one)
-
-    walk(read_yaml(file))
+    _inside(found, file, place, seen, (*outer, file))
 
 
 def sample(kind: Any) -> Any:
@@ -128,9 +99,9 @@
         if "array" in kind:
             return [sample(kind["array"])]
         return kind["enum"][0] if "enum" in kind else {f: sample(k) for f, k in kind["record"].items()}
-    plain = {"null": None, "boolean": True, "int": 1, "long": 1, "float": 1.0, "double": 1.0, "string": "a", "Any": "a"}
-    if kind in plain:
-        return plain[kind]
+    known = {"null": None, "boolean": True, "int": 1, "long": 1, "float": 1.0, "double": 1.0, "string": "a", "Any": "a"}
+    if kind in known:
+        return known[kind]
     return {"class": kind, "basename": "a.txt", "nameroot": "a", "nameext": ".txt", "path": "/a.txt", "size": 1,
             "contents": "1", "location": "sha256:0", "checksum": "sha1$0", "listing": [], "dirname": "/"}
 
@@ -163,9 +134,8 @@
         evaluate = Evaluator(engines, process.javascript, process.library)
         for text in _texts(process):
             first = text.splitlines()[0][:60]
-            where = place.at(file, next((w for w in re.findall(r"\w{3,}", text) if w != "inputs"), "$("))
-            lines = [n for n, line in enumerate(pathlib.Path(file).read_text().splitlines(), 1) if first in line]
-            where = f"{file}:{lines[0]}" if lines else where
+            where = place.holding(file, first) or place.at(
+                file, next((w for w in re.findall(r"\w{3,}", text) if w != "inputs"), "$("))
             for name in re.findall(r"\binputs\.(\w+)", text):
                 if name not in known and name != "length":
                     raise CwlError(f"{where}: {first}: no input {name}")
@@ -210,7 +180,6 @@
     if not pathlib.Path(path).is_file():
         raise CwlError(f"{file}: no such file")
     _scan(path, place, set())
-    _circle(path, ())
     try:
         document = load_document_by_uri(path, load_all=False)
     except SchemaSaladException as err:
@@ -219,7 +188,7 @@
         raise CwlError(f"{path}: {err}") from None
     converter = Converter(path, place, resolver)
     # Through the form in which it travels: what the YAML reader adds to texts and numbers stays behind.
-    plan = parse_plan(msgspec.json.encode(converter.plan(document), enc_hook=builtin))
+    plan = parse_plan(msgspec.json.encode(converter.plan(document), enc_hook=plain))
     try:
         nodes = graph(plan)
     except FlowError as err:
--- a/winglift/cwl/needs.py
+++ b/winglift/cwl/needs.py
@@ -142,7 +142,8 @@
     return of(found, "dockerPull") or of(found, "dockerImageId") or "none"
 
 
-def initial(needs: Needs, place: Callable[..., str], resolve: Callable[[Any], Any]) -> list[Staged]:
+def initial(needs: Needs, place: Callable[..., str]) -> list[Staged]:
+    """What lies in the work folder; `writable` needs nothing, since inputs are always copied."""
     found = needs.get("InitialWorkDirRequirement")
     if found is None:
         return []
@@ -154,8 +155,6 @@
         if isinstance(entry, str):
             made.append(Staged(entry))
         elif of(entry, "entry") is not None:
-            if of(entry, "writable"):
-                pass  # inputs are always copied
             made.append(Staged(of(entry, "entry"), of(entry, "entryname")))
         else:
             raise Unsupported(f"{place('InitialWorkDirRequirement')}: a literal file or folder in listing; "
--- a/winglift/cwl/order.py
+++ b/winglift/cwl/order.py
@@ -8,8 +8,9 @@
 from urllib.parse import unquote, urlparse
 
 from ..flows.values import describe, fits
-from ..wire.flows import Param
+from ..wire.flows import UPLOAD, Param
 from .errors import CwlError, Place, Unsupported
+from .types import LEFT
 
 
 class Resolver:
@@ -44,7 +45,7 @@
         return pathlib.Path(file).parent / unquote(url.path if url.scheme else text)
 
     def _file(self, value: dict[str, Any], file: str, where: str) -> dict[str, Any]:
-        for feature in ("secondaryFiles", "format"):
+        for feature in LEFT:
             if value.get(feature):
                 raise Unsupported(f"{where}: {feature}")
         if isinstance(value.get("contents"), str):
@@ -59,7 +60,7 @@
         return self._made(content, name)
 
     def _made(self, content: bytes, name: str) -> dict[str, Any]:
-        return {"class": "File", "basename": name, "location": f"sha256:{self.blob(content)}", "size": len(content),
+        return {"class": "File", "basename": name, "location": f"{UPLOAD}{self.blob(content)}", "size": len(content),
                 "checksum": f"sha1${hashlib.sha1(content).hexdigest()}"}
 
     def _folder(self, value: dict[str, Any], file: str, where: str) -> dict[str, Any]:
--- a/winglift/cwl/types.py
+++ b/winglift/cwl/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from cwl_utils.parser import cwl_v1_2 as cwl
@@ -13,6 +14,28 @@
 LEFT = ("secondaryFiles", "format")
 
 
+def plain(value: Any) -> Any:
+    """A value of the parsers, whose parts remember where and how they were written, as plain data."""
+    if hasattr(value, "save"):
+        return plain(value.save())
+    if isinstance(value, dict):
+        return {str(k): plain(v) for k, v in value.items()}
+    if isinstance(value, list):
+        return [plain(v) for v in value]
+    for kind in (str, bool, int, float):
+        if isinstance(value, kind):
+            return kind(value)
+    return value
+
+
+def refuse(found: Any, features: Iterable[str], place: Callable[..., str], *tokens: str) -> None:
+    """Raise Unsupported, naming the place, where one of these features is asked for."""
+    for feature in features:
+        asked = getattr(found, feature, None)
+        if asked and (feature, asked) != ("loadListing", "no_listing"):
+            raise Unsupported(f"{place(*tokens, feature)}: {feature}")
+
+
 def short(identifier: str) -> str:
     """The last part of an id, which parsing has made a URI."""
     return identifier.rpartition("#")[2].rpartition("/")[2]
@@ -36,9 +59,7 @@
         return {"enum": [short(s) for s in found.symbols]}
     if name == "record":
         for field in found.fields or []:
-            for feature in LEFT:
-                if getattr(field, feature, None):
-                    raise Unsupported(f"{where}: {feature}")
+            refuse(field, LEFT, lambda *_: where)
             if getattr(field, "outputBinding", None):
                 raise Unsupported(f"{where}: outputBinding of a record's field")
         return {"record": {short(f.name): kind(f.type_, where) for f in found.fields or []}}
--- a/winglift/flows/command.py
+++ b/winglift/flows/command.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..wire.flows import BASE, Binding, Fetch, Found, Output, Param, Tool, Work
+from ..wire.flows import BASE, UPLOAD, Binding, Fetch, Found, Output, Param, Tool, Work
 from .expressions import Evaluator, ExpressionError
 from .values import FlowError, describe, fits
 
@@ -89,8 +89,8 @@
             self._files[path] = Fetch(path)
             return value | {"path": path, "listing": [self._stage(v, path) for v in value.get("listing") or []]}
         location = value.get("location", "")
-        if location.startswith("sha256:"):
-            self._files[path] = Fetch(path, location.removeprefix("sha256:"))
+        if location.startswith(UPLOAD):
+            self._files[path] = Fetch(path, location.removeprefix(UPLOAD))
         elif isinstance(value.get("contents"), str):
             self._files[path] = Fetch(path, self._blob(value["contents"].encode()))
         else:
--- a/winglift/flows/driver.py
+++ b/winglift/flows/driver.py
@@ -193,5 +193,5 @@
         except TimeoutError:
             pass
         # What starts, ends and users need comes first.
-        while self.state.writes_free() < self.settings.settings.state.write_rps * c.FLOW_WRITES_KEPT * 0.5:
+        while self.state.writes_free() < self.settings.settings.state.write_rps * c.FLOW_WRITES_KEPT:
             await asyncio.sleep(c.WRITE_AGAIN_S)
--- a/winglift/flows/engine.py
+++ b/winglift/flows/engine.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 from typing import Any
 
-from ..wire.flows import Expression, FlowOutput, Hints, Param, Plan, Step, Tool, Workflow
+from ..wire.flows import UPLOAD, Expression, FlowOutput, Hints, Param, Plan, Step, Tool, Workflow
 from .expressions import Engines, Evaluator, ExpressionError
 from .values import FlowError, describe, files_of, fits, gather, nest, scatter
 
@@ -227,11 +227,11 @@
         """Files with their contents."""
         for file in files_of(value):
             if "contents" not in file:
-                digest = file["location"].removeprefix("sha256:")
+                digest = file["location"].removeprefix(UPLOAD)
                 if digest not in self.contents:
                     raise Needs(digest)
         if isinstance(value, dict) and value.get("class") == "File" and "contents" not in value:
-            return value | {"contents": self.contents[value["location"].removeprefix("sha256:")]}
+            return value | {"contents": self.contents[value["location"].removeprefix(UPLOAD)]}
         if isinstance(value, list):
             return [self._load(v) for v in value]
         return value
--- a/winglift/flows/records.py
+++ b/winglift/flows/records.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -14,6 +14,8 @@
 from ..wire.flows import FlowReply, FlowState, FlowSubmission, How
 from .values import job_ref
 
+T = TypeVar("T")
+
 HEAD = "flow/"
 STEP = "flowstep/"
 
@@ -49,18 +51,19 @@
 _steps = msgspec.json.Decoder(StepRecord)
 
 
-def decode_head(value: bytes | msgspec.Raw) -> Head:
+def _decode(decoder: msgspec.json.Decoder[T], value: bytes | msgspec.Raw) -> T:
     try:
-        return _heads.decode(value)
+        return decoder.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
         raise BadRecord(str(err)) from None
 
 
+def decode_head(value: bytes | msgspec.Raw) -> Head:
+    return _decode(_heads, value)
+
+
 def decode_step(value: bytes | msgspec.Raw) -> StepRecord:
-    try:
-        return _steps.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as err:
-        raise BadRecord(str(err)) from None
+    return _decode(_steps, value)
 
 
 def bounded(text: str) -> str:
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -13,7 +13,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
@@ -43,7 +43,6 @@
     leaf: Leaf
     parts: list[Part]
     key: str
-    machines: set[str] = field(default_factory=set)
     look_at: float = 0.0  # when its failures are looked at next
 
 
@@ -145,7 +144,7 @@
 
     # -- committing ----------------------------------------------------------------------------
 
-    async def _commit(self, changes: list[Any], absent: str | None = None, on_head: bool = False) -> int | None:
+    async def _commit(self, changes: list[Any], absent: str | None = None) -> int | None:
         """The revision; None if the key that had to be absent is there. Raises Superseded, Refused, Unknown."""
         leader = self.leader
         conditions = [leader.leadership(), wire.Condition(records.HEAD + self.ref, self.version)]
@@ -157,18 +156,22 @@
             # It would be refused for ever.
             raise FlowError(f"the state service does not take it: {err}") from None
         if isinstance(result, wire.Committed):
-            if on_head:
-                self.version = result.revision
             return result.revision
         if result.failed == [absent]:
             return None
         raise Superseded(f"{self.ref}: {', '.join(result.failed)} changed")
 
+    async def _write_head(self, head: records.Head) -> None:
+        revision = await self._commit([wire.Put(records.HEAD + self.ref, head)])
+        assert revision is not None  # no key had to be absent
+        self.head, self.version = head, revision
+
     async def _record(self, leaf: Leaf, record: records.StepRecord, results: list[dict[str, Any]]) -> None:
-        if len(msgspec.json.encode(results)) <= c.FLOW_INLINE_BYTES:
+        packed = msgspec.json.encode(results)
+        if len(packed) <= c.FLOW_INLINE_BYTES:
             record.results = results
         else:
-            record.digest = await self.leader.files.put(msgspec.json.encode(results))
+            record.digest = await self.leader.files.put(packed)
         # An end is committed before anything is built on it.
         await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
         self.records[leaf.path] = record
@@ -179,8 +182,7 @@
     async def finish(self, state: FlowState, cause: str = "", errors: str = "", outputs: str | None = None) -> None:
         head = msgspec.structs.replace(self.head, state=state, cause=records.bounded(cause), outputs=outputs,
                                        errors=records.bounded(errors), tidy=state is FlowState.DONE)
-        await self._commit([wire.Put(records.HEAD + self.ref, head)], on_head=True)
-        self.head = head
+        await self._write_head(head)
         log.info("%s: %s%s", self.ref, state.value, f": {cause}" if cause else "")
 
     # -- steps ---------------------------------------------------------------------------------
@@ -371,9 +373,4 @@
                     continue  # it never was submitted: its commands can't be built
                 for part in found:
                     await self.leader.cancel(part.ref)
-        await self._close()
-
-    async def _close(self) -> None:
-        head = msgspec.structs.replace(self.head, tidy=True)
-        await self._commit([wire.Put(records.HEAD + self.ref, head)], on_head=True)
-        self.head = head
+        await self._write_head(msgspec.structs.replace(self.head, tidy=True))
--- a/winglift/wire/flows.py
+++ b/winglift/wire/flows.py
@@ -17,6 +17,7 @@
 
 FLOW = re.compile(r"fl-[0-9]{1,20}\Z")
 DIGEST = re.compile(r"[0-9a-f]{64}\Z")
+UPLOAD = "sha256:"  # begins the location of a file whose content is an upload
 BASE = "/winglift-task"  # stands for a task's folder until a worker has one: in, out and tmp lie below it
 
 
