--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -10,14 +10,17 @@
 
 from tornado import web
 
+from .processes import Processes
 from .worker import Worker
 
-TYPE = {"name": "g4", "cpus": 32.0, "gpus": 4.0, "memGb": 256.0, "cacheGb": 60.0, "pullGbPerS": 100.0,
+TYPE: dict[str, Any] = {"name": "g4", "cpus": 32.0, "gpus": 4.0, "memGb": 256.0, "cacheGb": 60.0, "pullGbPerS": 100.0,
         "hourly": 12.0, "spotPrice": 4.0, "bootS": 0.2, "halls": ["a", "b"]}
 
 
 class Cloud:
-    def __init__(self, controllers: list[tuple[str, str]], run_s: Callable[[str], float]) -> None:
+    def __init__(self, controllers: list[tuple[str, str]], run_s: Callable[[str], float],
+                 processes: Processes | None = None) -> None:
+        self.processes = processes
         self.controllers = controllers
         self.run_s = run_s
         self.machines: dict[str, tuple[dict[str, Any], Worker | None, float]] = {}
@@ -49,7 +52,8 @@
         if name not in self.machines:
             return
         entry, _, began = self.machines[name]
-        worker = Worker(entry, self.controllers, self.run_s, self.report_s, self.lease_s)
+        worker = Worker(entry, self.controllers, self.run_s, self.report_s, self.lease_s,
+                        self.processes)
         entry["status"] = "running"
         self.machines[name] = (entry, worker, began)
         worker.start()
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -13,10 +14,12 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from .processes import Processes
+
 
 class Worker:
     def __init__(self, entry: dict[str, Any], controllers: list[tuple[str, str]], run_s: Callable[[str], float],
-                 report_s: float, lease_s: float) -> None:
+                 report_s: float, lease_s: float, processes: Processes | None = None) -> None:
         self.entry = entry
         self.controllers = controllers
         self.run_s = run_s
@@ -25,6 +28,8 @@
         self.answered = time.monotonic()
         self.tasks: dict[tuple[str, int], dict[str, Any]] = {}
         self.starts: list[tuple[float, str]] = []  # what began to run here, and when
+        self.processes = processes
+        self._running: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.mute = False  # a worker whose machine hangs
         self._loop: asyncio.Task | None = None
         self._server: HTTPServer | None = None
@@ -38,12 +43,26 @@
         self._loop = asyncio.ensure_future(self._run())
 
     def kill(self) -> None:
-        self.tasks.clear()
+        self._forget()
         if self._loop:
             self._loop.cancel()
         if self._server:
             self._server.stop()
 
+    def _forget(self) -> None:
+        self.tasks.clear()
+        for task in self._running.values():
+            task.cancel()
+        self._running.clear()
+
+    async def _process(self, key: tuple[str, int]) -> None:
+        """A described task, as a process."""
+        assert self.processes is not None
+        why = await self.processes.run(*key, self.entry["ref"])
+        if key in self.tasks and self.tasks[key]["status"] != "ended":
+            self.tasks[key].update(status="ended", exitCause=why)
+        self._running.pop(key, None)
+
     def report(self) -> dict[str, Any]:
         self.seq += 1
         now = time.monotonic()
@@ -60,10 +79,15 @@
             key = (order["piece"], order["tryNo"])
             if order["verb"] == "run" and key not in self.tasks:
                 self.starts.append((time.monotonic(), order["piece"]))
+                described = self.processes is not None and self.processes.knows(key[0])
                 self.tasks[key] = {"piece": key[0], "tryNo": key[1], "status": "running",
-                                   "ends": time.monotonic() + self.run_s(key[0])}
+                                   "ends": math.inf if described else time.monotonic() + self.run_s(key[0])}
+                if described:
+                    self._running[key] = asyncio.ensure_future(self._process(key))
             elif order["verb"] == "halt" and key in self.tasks and self.tasks[key]["status"] != "ended":
                 self.tasks[key].update(status="ended", exitCause="halted")
+                if key in self._running:
+                    self._running.pop(key).cancel()
             elif order["verb"] == "reap" and key in self.tasks and self.tasks[key]["status"] == "ended":
                 del self.tasks[key]
 
@@ -73,7 +97,7 @@
         while True:
             now = time.monotonic()
             if now - self.answered > self.lease_s:
-                self.tasks.clear()
+                self._forget()
                 self.session += 1
                 self.answered = now
             if self.mute or not self.controllers:
--- a/winglift/api/handlers.py
+++ b/winglift/api/handlers.py
@@ -146,7 +146,7 @@
         log.debug("%d %s %s", handler.get_status(), request.method, request.path)
 
 
-def application(node: Service) -> web.Application:
+def application(node: Service, more: list[tuple] | None = None) -> web.Application:
     args = {"node": node}
     return web.Application(
         [
@@ -154,6 +154,7 @@
             (r"/work/([^/]*)", Status, args),
             (r"/work/([^/]*)/abort", Cancel, args),
             (r"/up", Up, args),
+            *(more or []),
         ],
         default_handler_class=NotFound,
         default_handler_args=args,
--- /dev/null
+++ b/winglift/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -164,3 +164,27 @@
 # --- operator script --------------------------------------------------------------------------
 SCRIPT_MEMORY = 4 * 1024 * 1024  # bytes of Lua memory; a twentieth of the smaller machine
 SCRIPT_INSTRUCTIONS = 20_000  # Lua instructions of one call, below 1 ms: scheduling must not wait for a script
+
+# --- workflows --------------------------------------------------------------------------------
+EXPRESSION_S = 0.1  # s of processor time for one expression; a leader's cycle must not wait longer
+EXPRESSION_MB = 16.0  # MB of memory for one JavaScript context
+EXPRESSION_CONTEXTS = 8  # JavaScript contexts kept, one per library
+FLOW_CYCLE_S = 0.3  # s between two looks of the driver at its workflows
+FLOW_OPEN_JOBS = 100  # jobs of one workflow that are open at once: what is wide leaves the budget to others
+FLOW_PAGE = 50  # tasks described in one upload, so that a task's worker fetches little more than its own
+FLOW_INLINE_BYTES = 1024  # outputs up to this size lie in the step's record itself
+FLOW_FAILED_ON = 2  # machines on which a command must have failed until the step has: one may be the machine's fault
+FLOW_ERRORS_BYTES = 1000  # bytes of a tool's standard error, and of a cause, that a record keeps
+FLOW_PATH_BYTES = 300  # bytes of a step's path in its record; longer ones are refused
+FLOW_ESTIMATE_S = 60.0  # s; run time of a step that names none
+FLOW_LISTED = 100  # workflows in one answer
+FLOW_WRITES_KEPT = 0.3  # of the changes a second that the driver leaves for starts, ends and users
+FILES_TIMEOUT_S = 10.0  # s for one transfer from or to the store of uploads
+LOAD_CONTENTS_BYTES = 64 * 1024  # CWL's bound of loadContents
+
+# --- command line -----------------------------------------------------------------------------
+CLIENT_TIMEOUT_S = 5.0  # s for one answer, as users of the protocol wait
+CLIENT_AGAIN_S = 1.0  # s until a request is repeated, unless the answer asks for more
+CLIENT_PATIENCE_S = 60.0  # s; a request is repeated for so long
+CLIENT_POLL_S = 0.5  # s between two looks at a workflow that is watched
+TRY_PATIENCE_S = 60.0  # s until `try` gives up waiting for its controllers or its demonstration
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -58,6 +58,7 @@
                 self._displace_after_s[aim.job_class] = min(after, self._displace_after_s.get(aim.job_class, math.inf))
         self._kept: dict[str, Kept] = {}
         self._looks: dict[str, Look] = {}
+        self.near: dict[str, frozenset[str]] = {}  # job: machines of the steps before it in a workflow
         self.recent: deque[tuple[float, Submission]] = deque(maxlen=c.RECENT_ARRIVALS)
 
     def snapshot(self, now: float, may_move: bool = True,
@@ -169,6 +170,7 @@
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
                            frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self._kept,
+                           near=self.near.get(job.ref, frozenset()),
                            late=now - job.waits_since > self._displace_after_s.get(spec.job_class, math.inf))
 
     def _stuck(self, job: Job, now: float) -> list[policy.Stuck]:
--- /dev/null
+++ b/winglift/flows/files.py
@@ -0,0 +1,76 @@
+"""Client of the store of uploads: contents by their SHA-256, descriptions of tasks, what tasks left.
+
+    PUT, GET /blobs/{sha256}             a content
+    PUT, GET /tasks/{job}/{page}         FLOW_PAGE descriptions each; the first upload counts, later ones change nothing
+    GET /results/{job}?after=N           what tasks left that succeeded, in pages
+    GET /results/{job}?failed=1          what attempts left that failed
+"""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+
+from .. import constants as c
+from ..net.client import Client, Unanswered
+from ..wire import flows as wire
+
+
+class FilesError(Exception):
+    """The store did not do what it was asked; it may be asked again."""
+
+
+class Missing(FilesError):
+    """The store does not have it."""
+
+
+class Files:
+    def __init__(self, host: str, port: int) -> None:
+        self._http = Client(host, port)
+        self._sent: set[str] = set()
+
+    async def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
+        try:
+            try:
+                reply = await self._http.request(method, path, body, c.FILES_TIMEOUT_S)
+            except Unanswered:
+                # Every request here can be repeated, and a kept connection may have been closed by the other side.
+                reply = await self._http.request(method, path, body, c.FILES_TIMEOUT_S)
+        except Unanswered as err:
+            raise FilesError(f"store of uploads: {err}") from None
+        if reply.status == 404:
+            raise Missing(f"store of uploads: no {path}")
+        if reply.status != 200:
+            raise FilesError(f"store of uploads: {reply.status} for {path}")
+        return reply.body
+
+    async def put(self, content: bytes) -> str:
+        """Upload; the digest. What this client has uploaded already is not sent again."""
+        digest = hashlib.sha256(content).hexdigest()
+        if digest not in self._sent:
+            await self._call("PUT", f"/blobs/{digest}", content)
+            self._sent.add(digest)
+        return digest
+
+    async def get(self, digest: str) -> bytes:
+        content = await self._call("GET", f"/blobs/{digest}")
+        if hashlib.sha256(content).hexdigest() != digest:
+            raise FilesError(f"store of uploads: another content under {digest}")
+        return content
+
+    async def describe(self, job: str, page: int, works: list[wire.Work]) -> None:
+        await self._call("PUT", f"/tasks/{job}/{page}", wire.encode(works))
+
+    async def found(self, job: str, failed: bool = False) -> list[wire.FoundItem]:
+        items: list[wire.FoundItem] = []
+        while True:
+            after = items[-1].number if items else -1
+            body = await self._call("GET", f"/results/{job}?" + ("failed=1" if failed else f"after={after}"))
+            try:
+                page = wire.found_pages.decode(body)
+            except msgspec.DecodeError as err:
+                raise FilesError(f"store of uploads: results of {job}: {err}") from None
+            items += page.items
+            if not page.more or not page.items:
+                return items
--- /dev/null
+++ b/winglift/flows/records.py
@@ -0,0 +1,85 @@
+"""What the state service holds of workflows: one head each, and a record of each step that has ended.
+
+Which jobs exist need not be written: a job's id follows from workflow, step and part, and its own record says the rest.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from .. import constants as c
+from ..model.records import BadRecord
+from ..wire.flows import FlowReply, FlowState, FlowSubmission, How
+from .values import job_ref
+
+HEAD = "flow/"
+STEP = "flowstep/"
+
+
+class Head(msgspec.Struct, omit_defaults=True):
+    """`tidy`: all jobs of a workflow that ended early are known to be cancelled."""
+
+    sub: FlowSubmission
+    submitted: float  # time of day
+    state: FlowState = FlowState.OPEN
+    cause: str = ""
+    errors: str = ""
+    outputs: str | None = None
+    tidy: bool = False
+
+
+class StepRecord(msgspec.Struct, omit_defaults=True):
+    """`results` lies here if it is small, otherwise `digest` names the upload. `key` is what a later workflow compares
+    to take the results over."""
+
+    path: str
+    how: How
+    ended: float  # time of day
+    key: str = ""
+    results: list[dict[str, Any]] | None = None
+    digest: str | None = None
+    machines: list[str] = []
+    jobs: list[str] = []
+    tasks: int = 1
+
+
+_heads = msgspec.json.Decoder(Head)
+_steps = msgspec.json.Decoder(StepRecord)
+
+
+def decode_head(value: bytes | msgspec.Raw) -> Head:
+    try:
+        return _heads.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise BadRecord(str(err)) from None
+
+
+def decode_step(value: bytes | msgspec.Raw) -> StepRecord:
+    try:
+        return _steps.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as err:
+        raise BadRecord(str(err)) from None
+
+
+def bounded(text: str) -> str:
+    """The end of a text, as much as a record keeps: counted as it is written, where a byte may take six."""
+    text = text[-c.FLOW_ERRORS_BYTES:]
+    while len(msgspec.json.encode(text)) > c.FLOW_ERRORS_BYTES:
+        text = text[len(text) // 8 + 1:]
+    return text
+
+
+def step_prefix(flow: str) -> str:
+    return f"{STEP}{flow}/"
+
+
+def step_key(flow: str, path: str) -> str:
+    """Paths may be longer than keys are."""
+    return step_prefix(flow) + job_ref(flow, path, "step").removeprefix("wk-")
+
+
+def reply(head: Head, **more: Any) -> FlowReply:
+    return FlowReply(head.sub.ref, head.state, head.sub.team, head.submitted, head.sub.plan, head.cause, head.errors,
+                     head.outputs, **more)
--- /dev/null
+++ b/winglift/flows/run.py
@@ -0,0 +1,391 @@
+"""One workflow at the leader: its steps become jobs, the ends of jobs become records, until it has ended.
+
+Everything that it holds can be lost at any moment: it is built again from the head, the records of ended steps and the
+uploads. A job is committed before it can run, under an id that follows from workflow and step; an end is committed
+before anything is built on it. Both are conditional on the leadership key (invariant 1) and on the head, so nothing of
+a cancelled workflow starts later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import msgspec
+
+from .. import constants as c
+from ..api.jobs import feasible
+from ..config.settings import Settings
+from ..model import records as job_records
+from ..model.entities import Job
+from ..model.job import JobState
+from ..store.client import Refused, StateClient
+from ..wire import state as wire
+from ..wire.cloud import MachineType
+from ..wire.flows import Expression, FlowState, FoundItem, How, Tool, parse_plan
+from . import records
+from .engine import Engine, Leaf, Needs
+from .expressions import Engines
+from .files import Files, FilesError
+from .graph import Node, divide, graph, plain
+from .parts import Part, builder, key_of, parts, submission
+from .values import FlowError
+
+log = logging.getLogger(__name__)
+
+
+class StepFailed(FlowError):
+    """A step's command has failed, not by its machine's fault."""
+
+    def __init__(self, why: str, errors: str = "") -> None:
+        super().__init__(why)
+        self.errors = errors
+
+
+class Superseded(Exception):
+    """Another node leads, or the head has changed: what was to be written is not."""
+
+
+class Leader(Protocol):
+    """What a run needs of the node that leads."""
+
+    settings: Settings
+    state: StateClient
+    files: Files
+    engines: Engines
+    open_jobs: int
+
+    def types(self) -> dict[str, MachineType]: ...
+
+    def job(self, ref: str) -> Job | None: ...
+
+    def take_job(self, ref: str, version: int, record: job_records.JobRecord) -> None: ...
+
+    def near(self, ref: str, machines: frozenset[str] | None) -> None: ...
+
+    def leadership(self) -> wire.Condition: ...
+
+    async def cancel(self, ref: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Open:
+    """A step whose jobs are submitted."""
+
+    leaf: Leaf
+    parts: list[Part]
+    key: str
+    machines: set[str] = field(default_factory=set)
+    look_at: float = 0.0  # when its failures are looked at next
+
+
+class Run:
+    def __init__(self, leader: Leader, head: records.Head, version: int) -> None:
+        self.leader = leader
+        self.ref = head.sub.ref
+        self.head = head
+        self.version = version
+        self.engine: Engine | None = None
+        self.nodes: dict[str, Node] = {}
+        self.waiting: list[Leaf] = []
+        self.open: dict[str, Open] = {}
+        self.records: dict[str, records.StepRecord] = {}
+        self.reuse: dict[str, records.StepRecord] = {}
+        self._ends: dict[str, float] = {}  # by path in the graph: when the last instance ended
+        self._machines: dict[str, set[str]] = {}
+        self._widths: dict[str, float] = {}
+        self._inbox: deque[Leaf] = deque()
+        self._doubtful: set[str] = set()  # steps whose jobs may exist already
+
+    # -- building it again ---------------------------------------------------------------------
+
+    async def load(self) -> None:
+        leader, sub = self.leader, self.head.sub
+        plan = parse_plan(await leader.files.get(sub.plan))
+        order = msgspec.json.decode(await leader.files.get(sub.order))
+        if not isinstance(order, dict):
+            raise FlowError("the order is no object")
+        self.nodes = graph(plan)
+        for flow, found in ((self.ref, self.records), (sub.reuse, self.reuse)):
+            if flow is not None:
+                for item in (await leader.state.list(records.step_prefix(flow)))[0]:
+                    record = records.decode_step(item.value)
+                    if found is self.records:
+                        found[record.path] = record
+                    elif record.how is How.DONE and record.key:
+                        found[record.key] = record
+        self.engine = Engine(plan, order, leader.engines)
+        await self._follow(self.engine.start)
+        await self._settle()
+        # Which of these were submitted by an earlier leader, only their records tell.
+        self._doubtful = {leaf.path for leaf in self.waiting}
+
+    async def _follow(self, call: Callable[[], None]) -> None:
+        """Let the engine go on, with the contents that it asks for; what can run then lies in the inbox."""
+        assert self.engine is not None
+        try:
+            while True:
+                try:
+                    call()
+                    call = self.engine.go
+                    call()
+                    return
+                except Needs as need:
+                    content = await self.leader.files.get(need.digest)
+                    if len(content) > c.LOAD_CONTENTS_BYTES:
+                        raise FlowError(f"loadContents: a file of more than {c.LOAD_CONTENTS_BYTES} bytes") from None
+                    self.engine.contents[need.digest] = content.decode(errors="replace")
+        finally:
+            self._inbox.extend(self.engine.take())
+
+    async def _settle(self) -> None:
+        """Sort what can run into what has ended already, and so leads on, and what is to be run."""
+        while self._inbox:
+            leaf = self._inbox.popleft()
+            record = self.records.get(leaf.path)
+            if record is None or record.how is How.FAILED:
+                self.waiting.append(leaf)
+            else:
+                await self._take_end(leaf, record)
+
+    async def _take_end(self, leaf: Leaf, record: records.StepRecord) -> None:
+        """A step has ended and its record is committed: what follows from it."""
+        assert self.engine is not None
+        results = record.results
+        if results is None:
+            assert record.digest is not None
+            try:
+                results = msgspec.json.decode(await self.leader.files.get(record.digest), type=list[dict[str, Any]])
+            except FilesError:
+                self._inbox.appendleft(leaf)
+                raise
+        path = plain(leaf.path)
+        self._ends[path] = max(self._ends.get(path, 0.0), record.ended)
+        self._machines.setdefault(path, set()).update(record.machines)
+        self.engine.end(leaf, results)
+        await self._follow(self.engine.go)
+
+    # -- committing ----------------------------------------------------------------------------
+
+    async def _commit(self, changes: list[Any], absent: str | None = None, on_head: bool = False) -> int | None:
+        """The revision; None if the key that had to be absent is there. Raises Superseded, Refused, Unknown."""
+        leader = self.leader
+        conditions = [leader.leadership(), wire.Condition(records.HEAD + self.ref, self.version)]
+        if absent is not None:
+            conditions.append(wire.Condition(absent, 0))
+        result = await leader.state.commit(wire.Transaction(conditions, changes))
+        if isinstance(result, wire.Committed):
+            if on_head:
+                self.version = result.revision
+            return result.revision
+        if result.failed == [absent]:
+            return None
+        raise Superseded(f"{self.ref}: {', '.join(result.failed)} changed")
+
+    async def _record(self, leaf: Leaf, record: records.StepRecord, results: list[dict[str, Any]]) -> None:
+        if len(msgspec.json.encode(results)) <= c.FLOW_INLINE_BYTES:
+            record.results = results
+        else:
+            record.digest = await self.leader.files.put(msgspec.json.encode(results))
+        # An end is committed before anything is built on it.
+        await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
+        self.records[leaf.path] = record
+        self.open.pop(leaf.path, None)
+        await self._take_end(leaf, record)
+        await self._settle()
+
+    async def finish(self, state: FlowState, cause: str = "", errors: str = "", outputs: str | None = None) -> None:
+        head = msgspec.structs.replace(self.head, state=state, cause=records.bounded(cause), outputs=outputs,
+                                       errors=records.bounded(errors), tidy=state is FlowState.DONE)
+        await self._commit([wire.Put(records.HEAD + self.ref, head)], on_head=True)
+        self.head = head
+        log.info("%s: %s%s", self.ref, state.value, f": {cause}" if cause else "")
+
+    # -- steps ---------------------------------------------------------------------------------
+
+    async def step(self) -> None:
+        """One look: steps that are ready are submitted, ended ones recorded. Raises FlowError where it must fail."""
+        assert self.engine is not None
+        await self._follow(self.engine.go)
+        await self._settle()
+        while self.waiting and sum(len(o.parts) for o in self.open.values()) < self.leader.open_jobs:
+            leaf = self.waiting[0]
+            await self._launch(leaf)
+            self._doubtful.discard(leaf.path)
+            self.waiting.remove(leaf)
+        for found in list(self.open.values()):
+            await self._look(found)
+        if self.engine.outputs is not None and not self.open and not self.waiting:
+            outputs = await self.leader.files.put(msgspec.json.encode(self.engine.outputs))
+            await self.finish(FlowState.DONE, outputs=outputs)
+
+    async def _launch(self, leaf: Leaf) -> None:
+        assert self.engine is not None
+        if len(leaf.path.encode()) > c.FLOW_PATH_BYTES:
+            raise FlowError(f"{leaf.path[:60]}…: a path of more than {c.FLOW_PATH_BYTES} bytes")
+        process = self.engine.plan.processes[leaf.process]
+        if isinstance(process, Expression):
+            results = self.engine.evaluate(leaf)
+            await self._record(leaf, records.StepRecord(leaf.path, How.DONE, time.time()), results)
+            return
+        assert isinstance(process, Tool)
+        key = key_of(self.engine, leaf)
+        known = self.reuse.get(key)
+        if known is not None:
+            record = msgspec.structs.replace(known, path=leaf.path, ended=time.time())
+            await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
+            self.records[leaf.path] = record
+            log.info("%s: %s is taken over from %s", self.ref, leaf.path, self.head.sub.reuse)
+            await self._take_end(leaf, record)
+            await self._settle()
+            return
+        found = Open(leaf, await parts(self.engine, self.ref, leaf), key)
+        due = self._due(leaf, found.parts)
+        near = frozenset().union(*(self._machines.get(p, set()) for p in self.nodes[plain(leaf.path)].parents))
+        for part in found.parts:
+            await self._submit(part, process, leaf, due, near)
+        self.open[leaf.path] = found
+
+    def _due(self, leaf: Leaf, found: list[Part]) -> float | None:
+        """Sub-deadline of a step, of the whole divided anew by what is known now: time of day, or None."""
+        sub = self.head.sub
+        path = plain(leaf.path)
+        team = next((t for t in self.leader.settings.settings.teams if t.name == (leaf.hints.team or sub.team)), None)
+        rows = 0.0
+        for part in found:
+            places = [most / need for most, need in ((team.cpus_max, part.size.cpus), (team.gpus_max, part.size.gpus))
+                      if most > 0 and need > 0] if team is not None else []
+            rows += max(1.0, len(part.places) / max(1.0, min(places, default=len(part.places))))
+        if rows > 1.0:
+            self._widths[path] = max(self._widths.get(path, 1.0), rows)
+        if leaf.hints.deadline_s is not None:
+            return time.time() + leaf.hints.deadline_s
+        if sub.due_s is None:
+            return None
+        return divide(self.nodes, self.head.submitted, self.head.submitted + sub.due_s, self._ends, self._widths)[path]
+
+    async def _submit(self, part: Part, tool: Tool, leaf: Leaf, due: float | None, near: frozenset[str]) -> None:
+        leader = self.leader
+        now = time.time()
+        spec = submission(part, tool, leaf.hints, self.head.sub.team, None if due is None else max(0.0, due - now),
+                          leaf.path)
+        types = leader.types()
+        if not types:
+            raise Refused("machine types are not known yet")
+        why = feasible(spec, leader.settings, types)
+        if why is not None:
+            raise FlowError(f"{leaf.path}: can never run: {why}")
+        doubtful = leaf.path in self._doubtful
+        self._doubtful.add(leaf.path)
+        known = await leader.state.get(job_records.JOB + part.ref) if doubtful else None
+        if known is None:
+            # What a worker needs lies ready before the job exists.
+            for content in {d: b for made in part.made for d, b in made.blobs.items()}.values():
+                await leader.files.put(content)
+            works = [made.work for made in part.made]
+            for page in range(0, len(works), c.FLOW_PAGE):
+                await leader.files.describe(part.ref, page // c.FLOW_PAGE, works[page:page + c.FLOW_PAGE])
+            leader.near(part.ref, near or None)
+            record = job_records.fresh(spec, now)
+            revision = await self._commit([wire.Put(job_records.JOB + part.ref, record)],
+                                          absent=job_records.JOB + part.ref)
+            if revision is not None:
+                leader.take_job(part.ref, revision, record)
+                log.debug("%s: %s is %s, %d tasks", self.ref, leaf.path, part.ref, spec.tasks)
+                return
+            known = await leader.state.get(job_records.JOB + part.ref)
+        if known is not None:
+            there = job_records.decode(known.value).spec
+            if (there.team, there.tasks, there.image) != (spec.team, spec.tasks, spec.image):
+                raise FlowError(f"{leaf.path}: the id {part.ref} belongs to another job")
+
+    # -- ends ----------------------------------------------------------------------------------
+
+    async def _look(self, found: Open) -> None:
+        """Has a step ended?"""
+        ended = 0
+        for part in found.parts:
+            job = self.leader.job(part.ref)
+            if job is not None and job.recorded_state is JobState.OPEN:
+                if job.failed_on or job.failures:
+                    await self._check_failures(found, part)
+                continue
+            item = await self.leader.state.get(job_records.JOB + part.ref)
+            if item is None:
+                raise FlowError(f"{found.leaf.path}: its job {part.ref} is not known")
+            state = job_records.decode(item.value).state
+            if state == JobState.CANCELLED.value:
+                raise StepFailed(f"{found.leaf.path}: its job {part.ref} was cancelled")
+            ended += state == JobState.DONE.value
+        if ended < len(found.parts):
+            return
+        results: list[dict[str, Any]] = [{} for _ in found.leaf.elements]
+        machines: set[str] = set()
+        for part in found.parts:
+            items = {i.number: i for i in await self.leader.files.found(part.ref)}
+            self.leader.near(part.ref, None)
+            for number, place in enumerate(part.places):
+                if number not in items:
+                    raise FlowError(f"{found.leaf.path}: the results of {part.ref}/{number} are missing")
+                results[place] = await self._collect(found, place, items[number])
+                machines.add(items[number].found.machine)
+        record = records.StepRecord(found.leaf.path, How.DONE, time.time(), found.key,
+                                    machines=sorted(machines)[:20], jobs=[p.ref for p in found.parts][:20],
+                                    tasks=len(results))
+        await self._record(found.leaf, record, results)
+
+    async def _collect(self, found: Open, place: int, item: FoundItem) -> dict[str, Any]:
+        assert self.engine is not None
+        if place % 20 == 19:
+            await asyncio.sleep(0)
+        made = builder(self.engine, found.leaf, place)
+        made.build()
+        return made.collect(item.found)
+
+    async def _check_failures(self, found: Open, part: Part) -> None:
+        """A command that fails on one machine may be the machine's fault; on several it is its own."""
+        if time.monotonic() < found.look_at:
+            return
+        found.look_at = time.monotonic() + 1.0
+        by_task: dict[int, dict[str, FoundItem]] = {}
+        for item in await self.leader.files.found(part.ref, failed=True):
+            by_task.setdefault(item.number, {})[item.found.machine] = item
+        for number, machines in by_task.items():
+            if len(machines) >= c.FLOW_FAILED_ON:
+                last = list(machines.values())[-1].found
+                leaf, place = found.leaf, part.places[number]
+                where = leaf.path if leaf.node.shape is None else f"{leaf.path}[{leaf.node.places[place]}]"
+                why = last.why or f"exit code {last.code}"
+                record = records.StepRecord(leaf.path, How.FAILED, time.time(), jobs=[part.ref], tasks=len(part.places))
+                await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
+                raise StepFailed(f"{where}: {why} on {len(machines)} machines", last.errors)
+
+    async def tidy(self) -> None:
+        """Cancel what is still open of a workflow that has ended early; then the head says so."""
+        while self.engine is not None:
+            # Steps behind one that can't be prepared may have been submitted by an earlier leader.
+            try:
+                await self._follow(self.engine.go)
+                await self._settle()
+                break
+            except FlowError as err:
+                log.debug("%s: %s", self.ref, err)
+        for leaf in [*self.waiting, *(o.leaf for o in self.open.values())]:
+            if self.engine is not None and isinstance(self.engine.plan.processes[leaf.process], Tool):
+                try:
+                    found = await parts(self.engine, self.ref, leaf)
+                except FlowError:
+                    continue  # it never was submitted: its commands can't be built
+                for part in found:
+                    await self.leader.cancel(part.ref)
+        await self._close()
+
+    async def _close(self) -> None:
+        head = msgspec.structs.replace(self.head, tidy=True)
+        await self._commit([wire.Put(records.HEAD + self.ref, head)], on_head=True)
+        self.head = head
--- /dev/null
+++ b/winglift/flows/service.py
@@ -0,0 +1,244 @@
+"""Workflows as part of a node: what users ask for, answered by any node, and the driver while the node leads."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections import OrderedDict
+from typing import Protocol
+
+from .. import constants as c
+from ..api.handlers import ForUsers, Service
+from ..api.jobs import Jobs, NeverRuns, NotNow
+from ..config.settings import Settings, parse_addr
+from ..controller.lead import Controller
+from ..model.records import BadRecord
+from ..store.client import Refused, StateClient, Unknown
+from ..wire import flows as wire
+from ..wire import state
+from ..wire.flows import FlowReply, FlowState, FlowSubmission, How, StepReply
+from ..wire.users import Invalid, JobStatus
+from . import records
+from .driver import Driver
+from .expressions import Engines
+from .files import Files, FilesError, Missing
+from .graph import Node, graph, plain
+from .settings import FlowSettings
+from .values import FlowError, job_ref
+
+log = logging.getLogger(__name__)
+
+
+class Host(Service, Protocol):
+    """The node that serves workflows."""
+
+    settings: Settings
+    state: StateClient
+
+
+class Unlike(Exception):
+    """The id belongs to another workflow (409)."""
+
+
+class Flows:
+    def __init__(self, settings: FlowSettings, node: Host) -> None:
+        self.node = node
+        self.settings = settings
+        self.files = Files(*parse_addr(settings.files, "files"))
+        self.engines = Engines(settings.expressions.time_s, settings.expressions.memory_mb)
+        self.driver: Driver | None = None
+        self._graphs: OrderedDict[str, dict[str, Node]] = OrderedDict()
+
+    @property
+    def jobs(self) -> Jobs:
+        return self.node.jobs
+
+    def routes(self) -> list[tuple]:
+        args = {"node": self.node, "flows": self}
+        return [(r"/flows", Submit, args), (r"/flows/([^/]*)", Status, args), (r"/flows/([^/]*)/abort", Cancel, args)]
+
+    def lead(self, controller: Controller) -> None:
+        self.driver = Driver(controller, self.jobs, self.files, self.engines, self.settings)
+
+    def follow(self) -> None:
+        if self.driver is not None:
+            self.driver.stop()
+            self.driver = None
+
+    # -- what users ask for --------------------------------------------------------------------
+
+    async def _graph(self, plan: str) -> dict[str, Node]:
+        """The steps of a plan; raises Invalid, FlowError, FilesError."""
+        if plan not in self._graphs:
+            self._graphs[plan] = graph(wire.parse_plan(await self.files.get(plan)))
+            while len(self._graphs) > c.EXPRESSION_CONTEXTS:
+                self._graphs.popitem(last=False)
+        return self._graphs[plan]
+
+    async def _head(self, ref: str) -> tuple[records.Head, int] | None:
+        try:
+            item = await self.node.state.get(records.HEAD + ref, timeout=c.STATUS_TIMEOUT_S)
+        except (Refused, Unknown) as err:
+            raise NotNow(str(err)) from None
+        return None if item is None else (records.decode_head(item.value), item.version)
+
+    async def submit(self, sub: FlowSubmission) -> tuple[int, FlowReply]:
+        """Accept a workflow: 201 once it is committed (invariant 4), 200 if it is known already."""
+        known = await self._head(sub.ref)
+        if known is None:
+            if all(t.name != sub.team for t in self.node.settings.settings.teams):
+                raise NeverRuns(f"team: unknown team {sub.team}")
+            try:
+                await self._graph(sub.plan)
+                await self.files.get(sub.order)
+            except Missing as err:
+                raise Invalid(f"plan, order: {err}") from None
+            except FlowError as err:
+                raise Invalid(f"plan: {err}") from None
+            except FilesError as err:
+                raise NotNow(str(err)) from None
+            if sub.reuse is not None:
+                earlier = await self._head(sub.reuse)
+                # What another team's workflow has found is nobody else's to see.
+                if earlier is None or earlier[0].sub.team != sub.team:
+                    raise NeverRuns(f"reuse: {sub.team} has no workflow {sub.reuse}")
+            head = records.Head(sub, time.time())
+            key = records.HEAD + sub.ref
+            txn = state.Transaction([state.Condition(key, 0)], [state.Put(key, head)])
+            try:
+                result = await self.node.state.commit(txn, timeout=c.SUBMIT_TIMEOUT_S)
+            except (Refused, Unknown) as err:
+                # Taken or not: the user asks again, and the same id tells.
+                raise NotNow(str(err)) from None
+            if isinstance(result, state.Committed):
+                return 201, records.reply(head)
+            known = await self._head(sub.ref)
+            if known is None:
+                raise NotNow("the state service contradicts itself")
+        if known[0].sub != sub:
+            raise Unlike(f"ref: {sub.ref} belongs to another workflow")
+        return 200, records.reply(known[0])
+
+    async def status(self, ref: str) -> FlowReply | None:
+        known = await self._head(ref)
+        if known is None:
+            return None
+        head = known[0]
+        try:
+            items = (await self.node.state.list(records.step_prefix(ref)))[0]
+            nodes = await self._graph(head.sub.plan)
+        except (Refused, Unknown, FilesError) as err:
+            raise NotNow(str(err)) from None
+        except (Invalid, FlowError):
+            return records.reply(head)
+        ended = [records.decode_step(item.value) for item in items]
+        over = {plain(r.path) for r in ended}
+        steps = [StepReply(r.path, r.how.value, r.tasks, r.tasks if r.how is How.DONE else 0, r.jobs) for r in ended]
+        for path, node in nodes.items():
+            if path in over:
+                continue
+            step = StepReply(path, "skipped" if head.state is FlowState.DONE else "waiting", 0)
+            if head.state is FlowState.OPEN and node.parents <= over:
+                step = await self._open(ref, path) or step
+            steps.append(step)
+        order = {path: number for number, path in enumerate(nodes)}
+        return records.reply(head, steps=sorted(steps, key=lambda s: (order.get(plain(s.path), 0), s.path)))
+
+    async def _open(self, ref: str, path: str) -> StepReply | None:
+        job = job_ref(ref, path, 0)
+        found = await self.jobs.status(job)
+        if found is None:
+            return None
+        running = found.status in (JobStatus.RUNNING, JobStatus.DONE)
+        return StepReply(path, "running" if running else "queued", (found.done or 0) + (found.running or 0),
+                         found.done or 0, [job])
+
+    async def listing(self, after: str) -> wire.FlowList:
+        try:
+            items, _ = await self.node.state.list(records.HEAD)
+        except (Refused, Unknown) as err:
+            raise NotNow(str(err)) from None
+        later = [i for i in items if i.key > records.HEAD + after]
+        found = [records.reply(records.decode_head(i.value)) for i in later[:c.FLOW_LISTED]]
+        return wire.FlowList(found, len(later) > c.FLOW_LISTED, self.settings.files)
+
+    async def cancel(self, ref: str) -> FlowReply | None:
+        """Answered once it is committed (invariant 4). From then on nothing of it is submitted; the leader cancels the
+        jobs that are open."""
+        for _ in range(c.CANCEL_TRIES):
+            known = await self._head(ref)
+            if known is None:
+                return None
+            head, version = known
+            if head.state is not FlowState.OPEN:
+                return records.reply(head)
+            head.state = FlowState.CANCELLED
+            key = records.HEAD + ref
+            try:
+                result = await self.node.state.commit(
+                    state.Transaction([state.Condition(key, version)], [state.Put(key, head)]))
+            except Unknown:
+                continue  # read again: it may have been carried out
+            except Refused as err:
+                raise NotNow(str(err)) from None
+            if isinstance(result, state.Committed):
+                return records.reply(head)
+        raise NotNow("the workflow changes too often just now")
+
+
+class ForFlows(ForUsers):
+    def initialize(self, node: Service, flows: Flows) -> None:  # type: ignore[override]
+        self.node = node
+        self.flows = flows
+
+    async def answer(self, ask) -> None:  # type: ignore[no-untyped-def]
+        """Answer with (status, reply), or say what stands against it."""
+        try:
+            status, found = await ask()
+        except Invalid as err:
+            self.refuse(400, str(err))
+        except Unlike as err:
+            self.refuse(409, str(err))
+        except NeverRuns as err:
+            self.refuse(422, str(err))
+        except NotNow as err:
+            self.refuse(503, str(err), err.retry_after)
+        except BadRecord as err:
+            log.error("record: %s", err)
+            self.refuse(503, "record can't be read", c.RETRY_AFTER_S)
+        else:
+            if found is None:
+                self.refuse(404, "no such workflow")
+            else:
+                self.reply(status, found)
+
+    def flow(self, text: str) -> str:
+        if not wire.is_flow(text):
+            raise Invalid("ref: expected the form fl-000412")
+        return text
+
+
+class Submit(ForFlows):
+    async def get(self) -> None:
+        async def ask() -> tuple[int, object]:
+            return 200, await self.flows.listing(self.get_query_argument("after", ""))
+        await self.answer(ask)
+
+    async def post(self) -> None:
+        async def ask() -> tuple[int, object]:
+            return await self.flows.submit(wire.parse_submission(self.request.body))
+        await self.answer(ask)
+
+
+class Status(ForFlows):
+    async def get(self, text: str) -> None:
+        async def ask() -> tuple[int, object]:
+            return 200, await self.flows.status(self.flow(text))
+        await self.answer(ask)
+
+
+class Cancel(ForFlows):
+    async def post(self, text: str) -> None:
+        async def ask() -> tuple[int, object]:
+            return 200, await self.flows.cancel(self.flow(text))
+        await self.answer(ask)
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import time
+from typing import Protocol
 
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
@@ -30,6 +31,18 @@
 log = logging.getLogger(__name__)
 
 
+class Extension(Protocol):
+    """Something that a node serves beside its jobs. It is told of the node's role and gives routes of its own."""
+
+    def routes(self) -> list[tuple]: ...
+
+    def lead(self, controller: Controller) -> None:
+        """This node leads from now on."""
+
+    def follow(self) -> None:
+        """It leads no more: nothing may be written for this term."""
+
+
 class CountingServer(HTTPServer):
     """Counts open connections, so that users are refused before the sockets run out."""
 
@@ -62,6 +75,11 @@
         self.reports = Reports(self)
         self._began = time.monotonic()
         self._server: CountingServer | None = None
+        self._extensions: list[Extension] = []
+
+    def extend(self, extension: Extension) -> None:
+        """Serve something more; before `run`."""
+        self._extensions.append(extension)
 
     # -- what the parts ask --------------------------------------------------------------------
 
@@ -129,10 +147,18 @@
                                          self.link, self.script)
             self.cloud.set_leading(True)
             self.controller.start()
+            for extension in self._extensions:
+                extension.lead(self.controller)
         elif self.controller is not None:
+            self._end_leading()
+            self.cloud.set_leading(False)
+
+    def _end_leading(self) -> None:
+        if self.controller is not None:
+            for extension in self._extensions:
+                extension.follow()
             self.controller.stop()
             self.controller = None
-            self.cloud.set_leading(False)
 
     # -- running -------------------------------------------------------------------------------
 
@@ -149,8 +175,9 @@
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
     async def run(self) -> None:
-        server = self._server = CountingServer(Front(application(self), self.reports.handle), max_body_size=c.MAX_BODY,
-                                               idle_connection_timeout=c.IDLE_CONNECTION_S)
+        server = self._server = CountingServer(
+            Front(application(self, [r for e in self._extensions for r in e.routes()]), self.reports.handle),
+            max_body_size=c.MAX_BODY, idle_connection_timeout=c.IDLE_CONNECTION_S)
         host, port = parse_addr(self.settings.client_listen, "client_listen")
         server.listen(port, host)
         back_host, back_port = parse_addr(self.settings.back, "back")
@@ -164,9 +191,7 @@
 
     def stop(self) -> None:
         """End at once, as a kill would: for programs that embed a node, and for tests."""
-        if self.controller is not None:
-            self.controller.stop()
-            self.controller = None
+        self._end_leading()
         if self._server is not None:
             self._server.stop()
             asyncio.ensure_future(self._server.close_all_connections())
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -12,6 +12,8 @@
 from ..wire.users import Kind, Submission
 from .snapshot import Need, Room, fetch_s, zone_ok
 
+HERE = 5  # place in a preference of what depends on the tasks placed already
+
 
 def preference(need: Need, room: Room, now: float, placed: dict[str, int]) -> tuple:
     """The smaller, the better. On machines that are already paid for, cheap means: of the cheap kind, and filling a
@@ -23,7 +25,7 @@
     # Images fetched at the same time share the machine's rate: two fetches of 5 s once took 10 s each.
     # Replicas go where a node can keep them alive through a cut: in a zone without one a quarter of all once died.
     alone = room.alone and spec.kind is Kind.SERVICE
-    return (late, room.ready_in, 1 + room.fetches if fetch > 0 else 0, alone,
+    return (late, room.ready_in, 1 + room.fetches if fetch > 0 else 0, room.name not in need.near, alone,
             placed.get(room.zone, 0) if spec.spread else 0, spec.spot and not room.spot, room.gpus - spec.gpus,
             room.cpus, end)
 
@@ -70,7 +72,7 @@
                 continue
             plain, number, _, room, _ = heap[0]
             here = placed.get(zone, 0) if spec.spread else 0
-            key = (*plain[:4], here, *plain[5:], number)
+            key = (*plain[:HERE], here, *plain[HERE + 1:], number)
             if found_key is None or key < found_key:
                 found, found_key = room, key
         return found
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -161,6 +161,7 @@
     patient: bool = False  # it waits for so short a time that nothing is stopped for it yet: others end by themselves
     probe: bool = False  # it looks mistaken: it may use what is free, and nothing is stopped or rented for it
     keeps: bool = False  # room is kept for it
+    near: frozenset[str] = frozenset()  # machines where the steps before it ran: what they left may still be there
     late: bool = False  # a gang that has waited for much of the time in which it should start: it displaces owed work
 
     @property
