--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,415 @@
+"""Several hosts in simulated time, in one process: an event loop without a clock of its own, and a network.
+
+Whatever runs in a host's context (`winglift.net.outside`) sees that host's clocks, and is put off while the host stands
+still and dropped once it has crashed. A seed replays to the byte within one process.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import heapq
+import math
+import random
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from typing import Any
+
+from tornado import httputil
+from tornado.iostream import StreamClosedError
+
+from winglift.net import outside
+from winglift.net.client import NotSent, Reply, Unanswered
+
+EPOCH = 1.7e9  # time of day at the beginning of a world
+
+
+class Loop(asyncio.AbstractEventLoop):
+    """Callbacks in order of time, then of asking. What belongs to a host that stands still waits there."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.faults: list[dict[str, Any]] = []  # exceptions that nobody took
+        self.steps = 0
+        self._ready: deque[asyncio.Handle] = deque()
+        self._timers: list[tuple[float, int, asyncio.TimerHandle]] = []
+        self._asked = 0
+
+    def time(self) -> float:
+        return self.now
+
+    def call_soon(self, callback, *args, context=None):  # type: ignore[no-untyped-def]
+        handle = asyncio.Handle(callback, args, self, context)
+        self._ready.append(handle)
+        return handle
+
+    def call_later(self, delay, callback, *args, context=None):  # type: ignore[no-untyped-def]
+        return self.call_at(self.now + delay, callback, *args, context=context)
+
+    def call_at(self, when, callback, *args, context=None):  # type: ignore[no-untyped-def]
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        self._asked += 1
+        heapq.heappush(self._timers, (when, self._asked, handle))
+        return handle
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        pass
+
+    def create_future(self) -> asyncio.Future:
+        return asyncio.Future(loop=self)
+
+    def create_task(self, coro, **kwargs):  # type: ignore[no-untyped-def]
+        return asyncio.Task(coro, loop=self, **kwargs)
+
+    def get_debug(self) -> bool:
+        return False
+
+    def is_running(self) -> bool:
+        return True
+
+    def is_closed(self) -> bool:
+        return False
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        self.faults.append(context)
+
+    def _run(self, handle: asyncio.Handle) -> None:
+        if handle.cancelled():
+            return
+        host = handle._context.get(outside._here)  # type: ignore[attr-defined]
+        if isinstance(host, Host) and host.held is not None:
+            if not host.crashed:
+                host.held.append(handle)
+            return
+        self.steps += 1
+        handle._run()
+
+    def run(self, until: Callable[[], bool] | float, most_s: float = 600.0) -> bool:
+        """Run until something holds, or up to a time; False if that did not come within `most_s` simulated seconds."""
+        limit = until if isinstance(until, float) else self.now + most_s
+        asyncio._set_running_loop(self)
+        try:
+            while True:
+                for _ in range(len(self._ready)):
+                    self._run(self._ready.popleft())
+                if callable(until) and until():
+                    return True
+                if self._ready:
+                    continue
+                if not self._timers or self._timers[0][0] > limit:
+                    self.now = limit
+                    return not callable(until)
+                when, _, handle = heapq.heappop(self._timers)
+                self.now = max(self.now, when)
+                self._ready.append(handle)
+        finally:
+            asyncio._set_running_loop(None)
+
+
+@dataclass(eq=False)
+class Message:
+    """One packet train between two hosts, as tests see it before it leaves."""
+
+    source: str
+    target: str
+    what: str  # "POST /hosts", "answer POST /hosts", "bytes"
+    body: bytes
+    number: int
+
+
+@dataclass(eq=False)
+class Cut:
+    """Nothing from `source` gets to `target` ("" for any host, a leading "@" names a zone) until it ends."""
+
+    source: str
+    target: str
+    hold: bool  # what was sent is delivered after it; otherwise connections are reset
+    held: list[Callable[[], None]] = field(default_factory=list)
+
+
+class Host:
+    """A machine's outside: its clocks, and its place in the network. Restarted under the same name it is a new one."""
+
+    def __init__(self, net: Network, name: str, zone: str, drift: float = 0.0, skew_s: float = 0.0) -> None:
+        self.net, self.name, self.zone = net, name, zone
+        self.drift, self.skew_s = drift, skew_s
+        self.held: list[asyncio.Handle] | None = None  # while it stands still
+        self.crashed = False
+        self._drawn = 0
+        self.context = contextvars.copy_context()
+        self.context.run(outside.enter, self)
+
+    def steady(self) -> float:
+        return 1000.0 + self.net.loop.now * (1 + self.drift)
+
+    def wall(self) -> float:
+        return EPOCH + self.net.loop.now + self.skew_s
+
+    def chance(self) -> random.Random:
+        self._drawn += 1
+        return random.Random(f"{self.net.seed}/{self.name}/{self._drawn}")
+
+    def client(self, host: str, port: int, most: int | None = None) -> _Client:
+        return _Client(self, f"{host}:{port}")
+
+    def serve(self, delegate: httputil.HTTPServerConnectionDelegate, host: str, port: int, **limits: Any) -> _Server:
+        return _Server(self, f"{host}:{port}", delegate)
+
+    async def connect(self, host: str, port: int) -> _Pipe:
+        return await self.net.connect(self, f"{host}:{port}")
+
+    def listen(self, host: str, port: int, on_stream: outside.OnStream) -> Callable[[], None]:
+        self.net.listeners[f"{host}:{port}"] = (self, on_stream)
+        return lambda: self.net.shut(self)
+
+    def run(self, coroutine: Any) -> None:
+        """Start a coroutine there."""
+        self.context.run(self.net.loop.create_task, coroutine)
+
+    def stand_still(self) -> None:
+        if self.held is None:
+            self.held = []
+
+    def go_on(self) -> None:
+        if self.held is not None and not self.crashed:
+            self.net.loop._ready.extend(self.held)
+            self.held = None
+
+    def crash(self) -> None:
+        """Its process ends: nothing of it runs any more, and its connections are closed."""
+        self.crashed, self.held = True, []
+        self.net.shut(self)
+
+
+class Network:
+    def __init__(self, seed: int = 0) -> None:
+        self.loop = Loop()
+        self.seed = seed
+        self.rng = random.Random(f"{seed}/network")
+        self.listeners: dict[str, tuple[Host, Any]] = {}
+        self.servers: dict[str, _Server] = {}
+        self.pipes: list[_Pipe] = []
+        self.cuts: list[Cut] = []
+        self.loss = 0.002  # of the messages; each is sent again after 0.2 s
+        self.log: list[str] = []
+        self.number = 0
+        self.watch: Callable[[Message], str | None] = lambda message: None  # "hold", "drop" or None
+
+    def shut(self, host: Host) -> None:
+        self.listeners = {a: found for a, found in self.listeners.items() if found[0] is not host}
+        self.servers = {a: server for a, server in self.servers.items() if server.host is not host}
+        for pipe in [p for p in self.pipes if p.host is host]:
+            pipe.close()
+
+    @contextmanager
+    def cut(self, source: str, target: str, hold: bool = True) -> Iterator[Cut]:
+        """One way only; both ways take two of them."""
+        made = Cut(source, target, hold)
+        self.cuts.append(made)
+        try:
+            yield made
+        finally:
+            self.mend(made)
+
+    def mend(self, cut: Cut) -> None:
+        if cut in self.cuts:
+            self.cuts.remove(cut)
+        for deliver in cut.held:
+            self.loop.call_later(0.01, deliver)
+        cut.held.clear()
+
+    def _cut(self, source: Host, target: Host) -> Cut | None:
+        def fits(name: str, host: Host) -> bool:
+            return name in ("", host.name, f"@{host.zone}")
+        return next((c for c in self.cuts if fits(c.source, source) and fits(c.target, target)), None)
+
+    def send(self, source: Host, target: Host, what: str, body: bytes, deliver: Callable[[], None],
+             after: float = 0.0) -> float:
+        """Deliver in the target's context; when it will be, or infinity if that is not known."""
+        self.number += 1
+        message = Message(source.name, target.name, what, body, self.number)
+        self.log.append(f"{self.loop.now:.6f} {source.name} {target.name} {what} {len(body)}")
+        verdict = self.watch(message)
+        if source.crashed:  # the watcher may have ended it: what it was about to send never left
+            return math.inf
+        cut = self._cut(source, target)
+
+        def arrive() -> None:
+            if not target.crashed:
+                self.loop.call_soon(deliver, context=target.context)
+        if verdict == "hold":
+            self.kept.append(arrive)
+        elif cut is not None and cut.hold:
+            cut.held.append(arrive)
+        elif cut is None and verdict is None:
+            delay = self.rng.uniform(0.0005, 0.004) + (0.2 if self.rng.random() < self.loss else 0.0)
+            when = max(self.loop.now + delay, after)
+            self.loop.call_at(when, arrive, context=target.context)
+            return when
+        return math.inf
+
+    @property
+    def kept(self) -> list[Callable[[], None]]:
+        """Messages that `watch` has held, to be delivered by calling them."""
+        return self.__dict__.setdefault("_kept", [])
+
+    async def connect(self, host: Host, address: str) -> _Pipe:
+        found = self.listeners.get(address)
+        await asyncio.sleep(0.002)
+        if found is None or found[0].crashed:
+            raise StreamClosedError(real_error=ConnectionRefusedError(address))
+        target, on_stream = found
+        if self._cut(host, target) or self._cut(target, host):
+            await asyncio.Event().wait()  # hangs until its caller gives up
+        near, far = _Pipe(self, host), _Pipe(self, target)
+        near.other, far.other = far, near
+        target.run(on_stream(far, (host.name, 0)))
+        return near
+
+
+class _Pipe:
+    """One end of a stream of bytes."""
+
+    def __init__(self, net: Network, host: Host) -> None:
+        self.net, self.host = net, host
+        self.other: _Pipe
+        self._buffer = b""
+        self._last = 0.0
+        self._open = True
+        self._wanted: tuple[int, asyncio.Future] | None = None
+        net.pipes.append(self)
+
+    def set_nodelay(self, value: bool) -> None:
+        pass
+
+    def closed(self) -> bool:
+        return not self._open
+
+    def close(self) -> None:
+        if self._open:
+            self._end()
+            self.net.send(self.host, self.other.host, "close", b"", self.other._end, self._last)
+
+    def _end(self) -> None:
+        self._open = False
+        if self in self.net.pipes:
+            self.net.pipes.remove(self)
+        if self._wanted is not None:
+            future, self._wanted = self._wanted[1], None
+            if not future.done():
+                future.set_exception(StreamClosedError())
+
+    def read_bytes(self, num_bytes: int) -> Awaitable[bytes]:
+        future = self.net.loop.create_future()
+        if not self._open and len(self._buffer) < num_bytes:
+            future.set_exception(StreamClosedError())
+        else:
+            self._wanted = num_bytes, future
+            self._feed(b"")
+        return future
+
+    def _feed(self, data: bytes) -> None:
+        self._buffer += data
+        if self._wanted is not None and len(self._buffer) >= self._wanted[0]:
+            (count, future), self._wanted = self._wanted, None
+            found, self._buffer = self._buffer[:count], self._buffer[count:]
+            if not future.done():
+                future.set_result(found)
+
+    def write(self, data: bytes) -> Awaitable[None]:
+        future = self.net.loop.create_future()
+        if not self._open:
+            future.set_exception(StreamClosedError())
+            future.exception()
+        else:
+            far = self.other
+            when = self.net.send(self.host, far.host, "bytes", data, lambda: far._feed(data), self._last)
+            self._last = when if when < math.inf else self._last
+            future.set_result(None)
+        return future
+
+
+class _Server:
+    """An HTTP server in the simulated network; requests come without connections of their own."""
+
+    def __init__(self, host: Host, address: str, delegate: httputil.HTTPServerConnectionDelegate) -> None:
+        self.host, self.delegate, self.open = host, delegate, 0
+        host.net.servers[address] = self
+
+    def stop(self) -> None:
+        self.host.net.servers = {a: s for a, s in self.host.net.servers.items() if s is not self}
+
+    async def close_all_connections(self) -> None:
+        pass
+
+
+class _Exchange(httputil.HTTPConnection):
+    """Takes what a tornado application answers."""
+
+    def __init__(self, done: Callable[[Reply], None]) -> None:
+        self._done = done
+        self._status, self._after, self._chunks = 0, None, b""  # type: ignore[var-annotated]
+
+    def _written(self) -> asyncio.Future:
+        future = asyncio.get_running_loop().create_future()
+        future.set_result(None)
+        return future
+
+    def write_headers(self, start_line, headers, chunk=None):  # type: ignore[no-untyped-def]
+        after = headers.get("Retry-After")
+        self._status, self._after = start_line.code, float(after) if after else None
+        return self.write(chunk or b"")
+
+    def write(self, chunk: bytes) -> asyncio.Future:
+        self._chunks += chunk
+        return self._written()
+
+    def finish(self) -> None:
+        self._done(Reply(self._status, self._chunks, self._after))
+
+    def set_close_callback(self, callback: Any) -> None:
+        pass
+
+
+class _Client:
+    def __init__(self, host: Host, address: str) -> None:
+        self.host, self.address = host, address
+        self._known = False  # a connection is open: what is sent on it may be held back and delivered late
+
+    async def request(self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0) -> Reply:
+        net, host = self.host.net, self.host
+        server = net.servers.get(self.address)
+        if server is None:
+            await asyncio.sleep(0.002)
+            raise NotSent(f"{self.address}: refused")
+        target, answer = server.host, net.loop.create_future()
+        name = f"{method} {path.partition('?')[0]}"
+
+        def back(reply: Reply) -> None:
+            def arrive() -> None:
+                if not answer.done():
+                    answer.set_result(reply)
+            net.send(target, host, f"answer {name}", reply.body, arrive)
+
+        def handle() -> None:
+            delegate = server.delegate.start_request(object(), _Exchange(back))
+            headers = httputil.HTTPHeaders({"Content-Length": str(len(body or b""))})
+            delegate.headers_received(httputil.RequestStartLine(method, path, "HTTP/1.1"), headers)
+            if body:
+                delegate.data_received(body)
+            delegate.finish()
+        if self._known or net._cut(host, target) is None:
+            net.send(host, target, name, body or b"", handle)
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await answer
+        except TimeoutError:
+            self._known = False
+            raise Unanswered(f"{name}: no answer within {timeout:g} s") from None
+        self._known = True
+        return reply
+
+    def close(self) -> None:
+        self._known = False
--- a/tests/test_care.py
+++ b/tests/test_care.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 from helpers import TYPE, settings, spec
@@ -16,7 +17,7 @@
 from winglift.model.picture import Picture
 from winglift.model.recorded import apply_record
 from winglift.model.teams import Ledger
-from winglift.net.client import NotSent, Reply
+from winglift.net.client import Client, NotSent, Reply
 from winglift.policy.care import Care
 from winglift.policy.renting import Renting
 from winglift.policy.snapshot import Need, Plan, Snapshot
@@ -140,8 +141,8 @@
     machine, other = picture.machines["vm-b0"], picture.machines["vm-b1"]
     machine.addr, other.addr = "127.0.0.1:1", "127.0.0.1:2"
     ahead = [0.0]
-    steady = probes.time.monotonic
-    monkeypatch.setattr(probes.time, "monotonic", lambda: steady() + ahead[0])
+    steady = time.monotonic
+    monkeypatch.setattr(time, "monotonic", lambda: steady() + ahead[0])
 
     async def request(self, method, path, body=None, timeout=0.0):
         ahead[0] += 30.0 if stands_still else 0.0
@@ -150,7 +151,7 @@
         name = b"vm-b0" if self.port == 1 else b"vm-b1"
         return Reply(200, b'{"rig":"' + name + b'","endpoint":"127.0.0.1:1","rigType":"g4","hall":"b","loaner":false,'
                           b'"shift":1,"tick":7,"baton":1,"recallS":null,"pieces":[]}')
-    monkeypatch.setattr(probes.Client, "request", request)
+    monkeypatch.setattr(Client, "request", request)
 
     async def scenario() -> None:
         prober = probes.Prober(picture, Leadership(role=Role.LEADER, term=1, valid_until=1e12))
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -139,7 +139,7 @@
                 sent.append(path)
                 return Reply(400, b"{}")
 
-        monkeypatch.setattr("winglift.workers.commands.Client", Http)
+        monkeypatch.setattr("winglift.net.outside.Client", Http)
         made, _ = leader(True, [("vm-1", "a", 999.5)])
         machine, picture = made.picture.machines["vm-1"], made.picture
         machine.addr, machine.session = "127.0.0.1:1", 1
--- a/winglift/api/front.py
+++ b/winglift/api/front.py
@@ -68,8 +68,7 @@
     def _answer(self, answer: Answer) -> None:
         status, body = answer
         conn = self.request_conn
-        assert isinstance(conn, HTTP1Connection)
-        if conn.stream.closed():
+        if isinstance(conn, HTTP1Connection) and conn.stream.closed():
             return
         headers = httputil.HTTPHeaders({"Content-Type": "application/json", "Content-Length": str(len(body))})
         reason = httputil.responses.get(status, "Unknown")
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 
@@ -12,6 +11,7 @@
 from ..model import records
 from ..model.job import JobState
 from ..model.teams import exceeds_limit
+from ..net.outside import wall
 from ..store.client import Health, LeaseGone, Refused, StateClient, Unknown
 from ..store.mirror import Mirror
 from ..wire import state as wire
@@ -114,7 +114,7 @@
             if not types:
                 raise NotNow("machine types are not known yet")
             raise NeverRuns(why)
-        record = records.fresh(spec, time.time())
+        record = records.fresh(spec, wall())
         if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * 0.6:
             raise NeverRuns("the description is too long to be kept")
         txn = wire.Transaction([wire.Condition(records.JOB + spec.ref, 0)], [wire.Put(records.JOB + spec.ref, record)])
@@ -153,7 +153,7 @@
                 return reply
             record.state = JobState.CANCELLED.value
             # Read before the commit, and so before the user is told: whoever leads later counts cancel_s from it.
-            record.cancelled = time.time()
+            record.cancelled = wall()
             key = records.JOB + ref
             txn = wire.Transaction([wire.Condition(key, version)], [wire.Put(key, record)])
             try:
--- a/winglift/cloud/client.py
+++ b/winglift/cloud/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -12,7 +11,8 @@
 from .. import constants as c
 from ..config.settings import Cloud
 from ..net.budget import Budget
-from ..net.client import Client, NotSent, Reply, Unanswered
+from ..net.client import NotSent, Reply, Unanswered
+from ..net.outside import here, steady
 from ..wire import cloud as wire
 
 log = logging.getLogger(__name__)
@@ -37,7 +37,7 @@
 
 class CloudClient:
     def __init__(self, host: str, port: int, limits: Cloud, nodes: int) -> None:
-        self._http = Client(host, port)
+        self._http = here().client(host, port)
         self._limits = limits
         self._nodes = nodes
         self.entitled: Callable[[], bool] = lambda: True
@@ -48,16 +48,16 @@
     def set_leading(self, leads: bool) -> None:
         """The leader deals with the cloud; the others only ask for the types now and then."""
         share = 0.8 if leads or self._nodes == 1 else 0.2 / max(1, self._nodes - 1)
-        self._budget.resize(self._limits.rps * share, max(1.0, self._limits.rps * share), time.monotonic())
+        self._budget.resize(self._limits.rps * share, max(1.0, self._limits.rps * share), steady())
 
     async def turn(self) -> None:
         """Wait until a call could be sent at once."""
-        while self._budget.free(time.monotonic()) < 1:
-            await asyncio.sleep(self._budget.wait_s(time.monotonic()) + 0.002)
+        while self._budget.free(steady()) < 1:
+            await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
 
     async def _call(self, method: str, path: str, body: bytes | None = None, ends: bool = False) -> Reply:
-        while not self._budget.take(time.monotonic()):
-            await asyncio.sleep(self._budget.wait_s(time.monotonic()) + 0.002)
+        while not self._budget.take(steady()):
+            await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
         # A node that stood still woke in this queue: what it had decided before is another leader's to decide now.
         if body is not None and not self.entitled() and not (ends and self.may_end()):
             raise NotEntitled("not entitled to act")
@@ -66,7 +66,7 @@
         except (Unanswered, NotSent) as err:
             raise CloudError(str(err)) from None
         if reply.status == 429:
-            self._budget.penalise(time.monotonic())
+            self._budget.penalise(steady())
         return reply
 
     @staticmethod
--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from dataclasses import dataclass
 
 from msgspec.structs import replace
@@ -14,6 +13,7 @@
 from ..model.job import JobState
 from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
+from ..net.outside import steady
 from ..policy.snapshot import Rental
 from ..wire import cloud as wire
 from .client import CloudClient, CloudError, NoCapacity
@@ -69,7 +69,7 @@
         # The name holds the term, which no other node ever has: a name is never reused (invariant 6).
         name = f"t{self.picture.term}-{self._number}"
         request = wire.Rent(name, rental.type, rental.zone, rental.spot, min(rental.count, c.RENT_MOST))
-        self.asked[name] = self._unsent[key] = Asked(request, time.monotonic())
+        self.asked[name] = self._unsent[key] = Asked(request, steady())
         if self._sender is None or self._sender.done():
             # One at a time: a second one once found that the first had sent all that there was.
             self._sender = self.spawn(self._send())
@@ -92,13 +92,13 @@
                 except NoCapacity:
                     log.info("cloud refuses %d %s in %s (%s)", request.count, request.type, request.zone,
                              "spot" if request.spot else "ordinary")
-                    self.refused[key] = time.monotonic() + c.NO_CAPACITY_PAUSE_S
+                    self.refused[key] = steady() + c.NO_CAPACITY_PAUSE_S
                     return
                 except CloudError as err:
                     # The same name again: if it was carried out, the answer is the same and nothing more is rented.
                     log.info("rental %s: %s", request.request, err)
                     await asyncio.sleep(c.CLOUD_PAUSE_S)
-            now = time.monotonic()
+            now = steady()
             if len(names) < request.count:
                 self.refused[key] = now + c.NO_CAPACITY_PAUSE_S
             log.info("rented %s in %s (%s): %s", request.type, request.zone,
@@ -142,7 +142,7 @@
                 log.info("deletion: %s", err)
                 await asyncio.sleep(c.CLOUD_PAUSE_S)
                 continue
-            now = time.monotonic()
+            now = steady()
             for name, machine in batch.items():
                 self._to_delete.pop(name, None)
                 self.picture.machine_gone(machine, now)
@@ -153,7 +153,7 @@
         while True:
             try:
                 listed = await self.cloud.list()
-                self.reconcile(listed, time.monotonic())
+                self.reconcile(listed, steady())
                 self.listed_once = True
             except CloudError as err:
                 log.info("machine list: %s", err)
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import logging
-import socket
-import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.tcpserver import TCPServer
+from tornado.iostream import StreamClosedError
 
 from .. import constants as c
 from ..config.settings import Seed, parse_addr
+from ..net.outside import Stream, here, steady
 from ..wire import back
 
 log = logging.getLogger(__name__)
@@ -29,19 +27,18 @@
     heard: back.PeerState | None = None
     heard_at: float = 0.0
     steady_since: float = 0.0  # heard without a gap since then
-    stream: IOStream | None = None
+    stream: Stream | None = None
     waiting: dict[int, asyncio.Future] = field(default_factory=dict)
 
     def fresh(self, now: float) -> bool:
         return self.heard is not None and now - self.heard_at < c.PEER_FRESH_S
 
 
-class Link(TCPServer):
+class Link:
     def __init__(self, node: str, seeds: list[Seed], mine: Callable[[], back.PeerState],
                  on_relay: Callable[[bytes], tuple[int, bytes]],
                  on_job: Callable[[back.JobNote], None], on_state: Callable[[back.PeerState], None],
                  on_gone: Callable[[str], None]) -> None:
-        super().__init__()
         self.node = node
         self.peers = {s.node: Peer(s) for s in seeds if s.node != node}
         self._mine = mine
@@ -53,6 +50,7 @@
         self.fleet_at = 0.0  # and when
         self._request = 0
         self._keepers: list[asyncio.Task] = []
+        self._stop_listening: Callable[[], None] | None = None
 
     # -- what the peers say --------------------------------------------------------------------
 
@@ -84,7 +82,7 @@
 
     # -- serving -------------------------------------------------------------------------------
 
-    async def handle_stream(self, stream: IOStream, address: tuple) -> None:
+    async def _serve(self, stream: Stream, address: tuple) -> None:
         stream.set_nodelay(True)
         try:
             while True:
@@ -94,7 +92,7 @@
                 elif header.type is back.FrameType.JOB:
                     self._on_job(back.parse_job(body))
                 elif header.type is back.FrameType.FLEET:
-                    self.fleet, self.fleet_at = back.parse_fleet(body), time.monotonic()
+                    self.fleet, self.fleet_at = back.parse_fleet(body), steady()
                 elif header.type is back.FrameType.RELAY:
                     try:
                         status, answer = self._on_relay(body)
@@ -112,7 +110,7 @@
             stream.close()
 
     @staticmethod
-    async def _read(stream: IOStream) -> tuple[back.Header, bytes]:
+    async def _read(stream: Stream) -> tuple[back.Header, bytes]:
         header = back.parse_header(await stream.read_bytes(back.HEADER.size))
         return header, await stream.read_bytes(header.length) if header.length else b""
 
@@ -124,7 +122,7 @@
         # Frames held back by a cut may arrive late: an older term says nothing about the present.
         if peer.heard is not None and state.term < peer.heard.term:
             return
-        now = time.monotonic()
+        now = steady()
         if not peer.fresh(now):
             peer.steady_since = now
         peer.heard, peer.heard_at = state, now
@@ -132,22 +130,25 @@
 
     # -- asking --------------------------------------------------------------------------------
 
-    def start(self) -> None:  # type: ignore[override]
+    def start(self, host: str, port: int) -> None:
+        """Listen there, and keep a connection to each peer."""
+        self._stop_listening = here().listen(host, port, self._serve)
         self._keepers = [asyncio.ensure_future(self._keep(peer)) for peer in self.peers.values()]
 
     def shut(self) -> None:
         for keeper in self._keepers:
             keeper.cancel()
-        self.stop()
+        if self._stop_listening is not None:
+            self._stop_listening()
 
     async def _keep(self, peer: Peer) -> None:
         host, port = parse_addr(peer.seed.addr, "seeds")
         closed = False  # the last connection was closed by the other side
         while True:
-            stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            stream: Stream | None = None
             try:
                 async with asyncio.timeout(c.BACK_CONNECT_S):
-                    await stream.connect((host, port))
+                    stream = await here().connect(host, port)
                 closed = True
                 stream.set_nodelay(True)
                 peer.stream = stream
@@ -171,7 +172,8 @@
                     self._on_gone(peer.seed.node)
             finally:
                 peer.stream = None
-                stream.close()
+                if stream is not None:
+                    stream.close()
                 for future in peer.waiting.values():
                     if not future.done():
                         future.set_exception(NoLink())
@@ -179,7 +181,7 @@
                 peer.waiting.clear()
             await asyncio.sleep(c.BACK_AGAIN_S if closed else c.BACK_RETRY_S)
 
-    async def _read_answers(self, peer: Peer, stream: IOStream) -> None:
+    async def _read_answers(self, peer: Peer, stream: Stream) -> None:
         try:
             while True:
                 header, body = await self._read(stream)
@@ -213,13 +215,13 @@
 
     def tell_leader(self, note: back.JobNote) -> None:
         """A hint that spares the leader the wait for its watch. Loss does no harm."""
-        peer = self.leader(time.monotonic())
+        peer = self.leader(steady())
         if peer is not None:
             self._tell(peer, back.FrameType.JOB, back.pack_job(note))
 
     def tell_fleet(self, fleet: back.Fleet) -> None:
         """Workers don't report their images, and a silent one nothing: what the leader knows would be lost with it."""
-        self.fleet, self.fleet_at = fleet, time.monotonic()
+        self.fleet, self.fleet_at = fleet, steady()
         body = back.pack_fleet(fleet)
         for peer in self.peers.values():
             self._tell(peer, back.FrameType.FLEET, body)
--- a/winglift/controller/following.py
+++ b/winglift/controller/following.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -14,6 +13,7 @@
 from ..model.job import JobState
 from ..model.picture import Picture
 from ..model.recorded import apply_record
+from ..net.outside import steady
 from ..store.client import Refused, StateClient, TooOld, Unknown
 from ..wire.users import Submission
 
@@ -37,9 +37,9 @@
         """Load all records, then follow their changes. The picture is rebuilt before anything is placed."""
         while True:
             try:
-                sent = time.monotonic()
+                sent = steady()
                 items, revision = await self.state.list(records.JOB)
-                now = time.monotonic()
+                now = steady()
                 for item in items:
                     self._take_record(item.key, item.version, item.value, now)
                 self._revision = revision
@@ -58,14 +58,14 @@
 
     async def _watch(self) -> None:
         while True:
-            sent = time.monotonic()
+            sent = steady()
             try:
                 changes = await self.state.changes(records.JOB, self._revision)
             except (Refused, Unknown) as err:
                 log.debug("watch: %s", err)
                 await asyncio.sleep(0.3)
                 continue
-            now = time.monotonic()
+            now = steady()
             for event in changes.events:
                 if event.put is not None:
                     self._take_record(event.put, event.version, event.value, now)
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import math
-import time
 
 from .. import constants as c
 from ..cloud.client import CloudClient
@@ -19,6 +18,7 @@
 from ..model.picture import Picture
 from ..model.reported import on_report, orders
 from ..model.task import PRESENT, TaskState
+from ..net.outside import steady, wall
 from ..policy import snapshot as policy
 from ..policy.care import Care, heard_at
 from ..policy.plan import make_plan
@@ -57,7 +57,7 @@
         self.keeper = Keeper(state, settings.settings.state, self.me)
         self.stopper = Stopper(self.picture, self.me, self.ends_only)
         self.prober = Prober(self.picture, self.me)
-        self.view = View(settings, self.picture, self.inventory, script, time.monotonic())
+        self.view = View(settings, self.picture, self.inventory, script, steady())
         self.leaving = Leaving(self.picture, self.inventory, script, settings.settings.workers)
         self.care = Care(self.picture, settings.settings.workers, settings.settings.skew_ms / 1000,
                          {settings.zone, *(seed.zone for seed in settings.seeds)})
@@ -111,11 +111,11 @@
 
     def take_job(self, ref: str, version: int, record: records.JobRecord) -> None:
         """A record that this node or another has committed."""
-        self.following.take_job(ref, version, record, time.monotonic())
+        self.following.take_job(ref, version, record, steady())
 
     def on_report(self, report: w.Report) -> list[w.Command] | None:
         """Commands for a worker, or none while this node may not command: the answer renews its lease all the same."""
-        now = time.monotonic()
+        now = steady()
         if not self.loaded:
             return []
         commands = on_report(self.picture, report, now)
@@ -151,16 +151,16 @@
             if self.batcher.lost or self.picture.superseded:
                 self.election.lose("another node holds the leader key")
                 return
-            began = time.monotonic()
+            began = steady()
             if self._may_decide(began) and self.loaded:
                 self._step(began)
-                took = time.monotonic() - began
+                took = steady() - began
                 pause = max(pause, took * c.CYCLE_PAUSE)
                 if took > 0.1:
                     log.debug("a cycle took %.0f ms", took * 1000)
             elif self.loaded and self.ends_only():
                 self._see_to_ends(began)
-            self._next_pass += time.monotonic() - began + pause
+            self._next_pass += steady() - began + pause
             await asyncio.sleep(pause)
 
     def _may_decide(self, now: float) -> bool:
@@ -182,11 +182,11 @@
         delete machines that can't be told. If it is wrong about the outage, that costs a machine and breaks no rule.
         """
         return (self.me.role is Role.DOUBTFUL and self.state.health() is Health.DOWN
-                and not self.link.state_works_elsewhere(time.monotonic()))
+                and not self.link.state_works_elsewhere(steady()))
 
     def _see_to_ends(self, now: float) -> None:
         self._check_jobs(now)
-        for machine, why in self.care.held_ends(now, time.time()):
+        for machine, why in self.care.held_ends(now, wall()):
             self.inventory.delete(machine, why)
 
     def _step(self, now: float) -> None:
@@ -224,7 +224,7 @@
 
     def _check_machines(self, now: float) -> None:
         hears_anyone = not self.link.peers or self.link.hears_anyone(now)
-        found = self.care.look(now, time.time(), hears_anyone, self.link.hears_all(now))
+        found = self.care.look(now, wall(), hears_anyone, self.link.hears_all(now))
         if found.deaf:
             asyncio.ensure_future(self.election.resign("hears neither workers nor other nodes"))
         for mtype, zone in found.dark:
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-import time
 from collections import deque
 from dataclasses import dataclass
 
@@ -16,6 +15,7 @@
 from ..model.machine import MachineState
 from ..model.picture import Picture, zone_counts
 from ..model.task import TaskState
+from ..net.outside import wall
 from ..policy import snapshot as policy
 from ..policy.reserve import reserve_size
 from ..policy.split import sub_deadline
@@ -63,7 +63,7 @@
 
     def snapshot(self, now: float, may_move: bool = True,
                  cut: frozenset[str] = frozenset(), attended: frozenset[str] | None = None) -> policy.Snapshot:
-        picture, wall = self.picture, time.time()
+        picture, today = self.picture, wall()
         needs = []
         team_open: dict[str, list[Job]] = {}
         for job in picture.jobs.values():
@@ -91,7 +91,7 @@
         stuck: list[policy.Stuck] = []
         for jobs in team_open.values():
             for job in jobs:
-                need = self._need(job, now, wall, job.ref in within)
+                need = self._need(job, now, today, job.ref in within)
                 if need is not None:
                     needs.append(need)
                 if job.kind is Kind.SERVICE and not job.writing:
@@ -104,8 +104,8 @@
                 stopping_cpus[team] = stopping_cpus.get(team, 0.0) + cpus
         lag = self.settings.settings.cloud.list_lag_s
         return policy.Snapshot(
-            now=wall, rooms=rooms, needs=needs, ledger=picture.ledger, types=self.types,
-            refused=self.inventory.refused_now(now), reserves=self._reserves(wall),
+            now=today, rooms=rooms, needs=needs, ledger=picture.ledger, types=self.types,
+            refused=self.inventory.refused_now(now), reserves=self._reserves(today),
             dark=picture.boots.allowed(self.types.values(), picture.machines.values(),
                                        self.inventory.asked_places(), now),
             stopping_gpus=stopping_gpus, stopping_cpus=stopping_cpus,
--- a/winglift/flows/driver.py
+++ b/winglift/flows/driver.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
-import time
 
 from .. import constants as c
 from ..api.jobs import Jobs, NotNow
 from ..controller.lead import Controller
 from ..model import records as job_records
 from ..model.entities import Job
+from ..net.outside import steady
 from ..store.client import LeaseGone, Refused, TooOld, Unknown
 from ..wire import state as wire
 from ..wire.cloud import MachineType
@@ -70,7 +70,7 @@
 
     def leadership(self) -> wire.Condition:
         # As every leader write, on the leadership key at its revision (invariant 1).
-        if not self.controller.me.entitled(time.monotonic()):
+        if not self.controller.me.entitled(steady()):
             raise Refused("this node does not lead now")
         return wire.Condition(job_records.LEADER, self.controller.me.revision)
 
--- a/winglift/flows/files.py
+++ b/winglift/flows/files.py
@@ -13,7 +13,8 @@
 import msgspec
 
 from .. import constants as c
-from ..net.client import Client, Unanswered
+from ..net.client import Unanswered
+from ..net.outside import here
 from ..wire import flows as wire
 
 
@@ -27,7 +28,7 @@
 
 class Files:
     def __init__(self, host: str, port: int) -> None:
-        self._http = Client(host, port)
+        self._http = here().client(host, port)
         self._sent: set[str] = set()
 
     async def _call(self, method: str, path: str, body: bytes | None = None) -> bytes:
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -10,7 +10,6 @@
 
 import asyncio
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,6 +21,7 @@
 from ..api.jobs import feasible
 from ..model import records as job_records
 from ..model.job import JobState
+from ..net.outside import steady, wall
 from ..store.client import Malformed, Refused
 from ..wire import state as wire
 from ..wire.flows import Expression, FlowState, FoundItem, How, Tool
@@ -214,13 +214,13 @@
         process = self.engine.plan.processes[leaf.process]
         if isinstance(process, Expression):
             results = self.engine.evaluate(leaf)
-            await self._record(leaf, records.StepRecord(leaf.path, How.DONE, time.time()), results)
+            await self._record(leaf, records.StepRecord(leaf.path, How.DONE, wall()), results)
             return
         assert isinstance(process, Tool)
         key = key_of(self.engine, leaf)
         known = self.reuse.get(key)
         if known is not None:
-            record = msgspec.structs.replace(known, path=leaf.path, ended=time.time())
+            record = msgspec.structs.replace(known, path=leaf.path, ended=wall())
             await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
             self.records[leaf.path] = record
             log.info("%s: %s is taken over from %s", self.ref, leaf.path, self.head.sub.reuse)
@@ -248,7 +248,7 @@
             self._widths[path] = max(self._widths.get(path, 1.0), rows)
             self._dues = None
         if leaf.hints.deadline_s is not None:
-            return time.time() + leaf.hints.deadline_s
+            return wall() + leaf.hints.deadline_s
         if sub.due_s is None:
             return None
         if self._dues is None:
@@ -258,7 +258,7 @@
 
     async def _submit(self, part: Part, tool: Tool, leaf: Leaf, due: float | None, near: frozenset[str]) -> None:
         leader = self.leader
-        now = time.time()
+        now = wall()
         spec = submission(part, tool, leaf.hints, self.head.sub.team, None if due is None else max(0.0, due - now),
                           leaf.path)
         types = leader.types()
@@ -321,7 +321,7 @@
                     raise FlowError(f"{found.leaf.path}: the results of {part.ref}/{number} are missing")
                 results[place] = await self._collect(found, place, items[number])
                 machines.add(items[number].found.machine)
-        record = records.StepRecord(found.leaf.path, How.DONE, time.time(), found.key,
+        record = records.StepRecord(found.leaf.path, How.DONE, wall(), found.key,
                                     machines=sorted(machines)[:20], jobs=[p.ref for p in found.parts][:20],
                                     tasks=len(results))
         await self._record(found.leaf, record, results)
@@ -339,9 +339,9 @@
 
     async def _check_failures(self, found: Open, part: Part) -> None:
         """A command that fails on one machine may be the machine's fault; on several it is its own."""
-        if time.monotonic() < found.look_at:
+        if steady() < found.look_at:
             return
-        found.look_at = time.monotonic() + 1.0
+        found.look_at = steady() + 1.0
         by_task: dict[int, dict[str, FoundItem]] = {}
         for item in await self.leader.files.found(part.ref, failed=True):
             by_task.setdefault(item.number, {})[item.found.machine] = item
@@ -351,7 +351,7 @@
                 leaf, place = found.leaf, part.places[number]
                 where = leaf.path if leaf.node.shape is None else f"{leaf.path}[{leaf.node.places[place]}]"
                 why = last.why or f"exit code {last.code}"
-                record = records.StepRecord(leaf.path, How.FAILED, time.time(), jobs=[part.ref], tasks=len(part.places))
+                record = records.StepRecord(leaf.path, How.FAILED, wall(), jobs=[part.ref], tasks=len(part.places))
                 await self._commit([wire.Put(records.step_key(self.ref, leaf.path), record)])
                 raise StepFailed(f"{where}: {why} on {len(machines)} machines", last.errors)
 
--- a/winglift/flows/service.py
+++ b/winglift/flows/service.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from typing import Protocol
@@ -14,6 +13,7 @@
 from ..api.jobs import Jobs, NeverRuns, NotNow
 from ..config.settings import Settings, parse_addr
 from ..controller.lead import Controller
+from ..net.outside import wall
 from ..store.client import Refused, StateClient, Unknown
 from ..wire import flows as wire
 from ..wire import state
@@ -103,7 +103,7 @@
                 # What another team's workflow has found is nobody else's to see.
                 if earlier is None or earlier[0].sub.team != sub.team:
                     raise NeverRuns(f"reuse: {sub.team} has no workflow {sub.reuse}")
-            head = records.Head(sub, time.time())
+            head = records.Head(sub, wall())
             key = records.HEAD + sub.ref
             txn = state.Transaction([state.Condition(key, 0)], [state.Put(key, head)])
             try:
--- /dev/null
+++ b/winglift/net/outside.py
@@ -0,0 +1,163 @@
+"""What a node has of the outside: clocks, chance, connections. Nothing else of this program reads a clock or opens one.
+
+A node's tasks find it in their context, so that several nodes can live in one process, each with its own clocks and its
+own place in a network. `Sockets` is the real one and the default; tests put a simulated one in its place with `enter`.
+"""
+
+from __future__ import annotations
+
+import random
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from contextvars import ContextVar
+from typing import Any, Protocol
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerConnectionDelegate
+from tornado.iostream import IOStream
+from tornado.tcpserver import TCPServer
+
+from .client import Client, Reply
+
+
+class Requests(Protocol):
+    """HTTP requests to one address, one after the other or several at once."""
+
+    async def request(self, method: str, path: str, body: bytes | None = None, timeout: float = 2.0) -> Reply:
+        """Raises `NotSent` if it was certainly not carried out, `Unanswered` if nothing is known. `timeout` in s."""
+        ...
+
+    def close(self) -> None: ...
+
+
+class Stream(Protocol):
+    """An open connection of bytes. All but `closed` raise tornado's StreamClosedError once it is closed."""
+
+    def read_bytes(self, num_bytes: int) -> Awaitable[bytes]: ...
+
+    def write(self, data: bytes) -> Awaitable[None]: ...
+
+    def set_nodelay(self, value: bool) -> None: ...
+
+    def closed(self) -> bool: ...
+
+    def close(self) -> None: ...
+
+
+class Server(Protocol):
+    """An HTTP server that listens."""
+
+    open: int  # connections of users and workers that are open
+
+    def stop(self) -> None: ...
+
+    async def close_all_connections(self) -> None: ...
+
+
+OnStream = Callable[[Any, tuple], Awaitable[None]]
+
+
+class Outside(Protocol):
+    def steady(self) -> float:
+        """Seconds of a clock that never goes back, from an unknown beginning."""
+        ...
+
+    def wall(self) -> float:
+        """The time of day, seconds since 1970, within `skew_ms` of the true one."""
+        ...
+
+    def chance(self) -> random.Random: ...
+
+    def client(self, host: str, port: int, most: int | None = None) -> Requests:
+        """`most`: connections kept for later requests."""
+        ...
+
+    def serve(self, delegate: HTTPServerConnectionDelegate, host: str, port: int, **limits: Any) -> Server: ...
+
+    async def connect(self, host: str, port: int) -> Stream:
+        """Raises OSError or tornado's StreamClosedError; `ConnectionRefusedError` within it if nobody listens."""
+        ...
+
+    def listen(self, host: str, port: int, on_stream: OnStream) -> Callable[[], None]:
+        """Hands each connection to `on_stream`; the answer ends the listening."""
+        ...
+
+
+class CountingServer(HTTPServer):
+    """Counts open connections, so that users are refused before the sockets run out."""
+
+    open = 0
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> None:
+        self.open += 1
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        self.open -= 1
+        super().on_close(server_conn)
+
+
+class _Streams(TCPServer):
+    def __init__(self, on_stream: OnStream) -> None:
+        super().__init__()
+        self._on_stream = on_stream
+
+    def handle_stream(self, stream: IOStream, address: tuple) -> Awaitable[None]:
+        return self._on_stream(stream, address)
+
+
+class Sockets:
+    """The machine that the process runs on."""
+
+    def steady(self) -> float:
+        return time.monotonic()
+
+    def wall(self) -> float:
+        return time.time()
+
+    def chance(self) -> random.Random:
+        return random.Random()
+
+    def client(self, host: str, port: int, most: int | None = None) -> Requests:
+        return Client(host, port) if most is None else Client(host, port, most)
+
+    def serve(self, delegate: HTTPServerConnectionDelegate, host: str, port: int, **limits: Any) -> Server:
+        server = CountingServer(delegate, **limits)
+        server.listen(port, host)
+        return server
+
+    async def connect(self, host: str, port: int) -> Stream:
+        stream = IOStream(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+        try:
+            await stream.connect((host, port))
+        except BaseException:
+            stream.close()
+            raise
+        return stream
+
+    def listen(self, host: str, port: int, on_stream: OnStream) -> Callable[[], None]:
+        server = _Streams(on_stream)
+        server.listen(port, host)
+        return server.stop
+
+
+_here: ContextVar[Outside] = ContextVar("outside", default=Sockets())  # noqa: B039 (it has no state of its own)
+
+
+def here() -> Outside:
+    """The outside of the node to which the running code belongs."""
+    return _here.get()
+
+
+def enter(outside: Outside) -> None:
+    """From now on, code of this context and what it starts sees this outside."""
+    _here.set(outside)
+
+
+def steady() -> float:
+    return _here.get().steady()
+
+
+def wall() -> float:
+    return _here.get().wall()
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -5,12 +5,8 @@
 import asyncio
 import gc
 import logging
-import time
 from typing import Protocol
 
-from tornado.httpserver import HTTPServer
-from tornado.iostream import IOStream
-
 from . import constants as c
 from .api.front import Front
 from .api.handlers import application
@@ -22,6 +18,7 @@
 from .controller.lead import Controller
 from .model import records
 from .model.leadership import Role
+from .net.outside import Server, here, steady
 from .store.client import Health, StateClient
 from .store.election import Election
 from .wire import back
@@ -43,20 +40,6 @@
         """It leads no more: nothing may be written for this term."""
 
 
-class CountingServer(HTTPServer):
-    """Counts open connections, so that users are refused before the sockets run out."""
-
-    open = 0
-
-    def handle_stream(self, stream: IOStream, address: tuple) -> None:
-        self.open += 1
-        super().handle_stream(stream, address)
-
-    def on_close(self, server_conn: object) -> None:
-        self.open -= 1
-        super().on_close(server_conn)
-
-
 class Node:
     def __init__(self, settings: Settings, script: Script | None = None) -> None:
         self.settings = settings
@@ -67,14 +50,14 @@
         self.types: dict[str, MachineType] = {}
         self.controller: Controller | None = None
         self.election = Election(self.state, settings.node, self._on_change)
-        self.cloud.entitled = lambda: self.election.me.entitled(time.monotonic())
+        self.cloud.entitled = lambda: self.election.me.entitled(steady())
         self.cloud.may_end = lambda: self.controller is not None and self.controller.ends_only()
         self.link = Link(settings.node, settings.seeds, self._mine, self._on_relay, self._on_job, self._on_peer,
                          self._on_gone)
         self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
         self.reports = Reports(self)
-        self._began = time.monotonic()
-        self._server: CountingServer | None = None
+        self._began = steady()
+        self._server: Server | None = None
         self._extensions: list[Extension] = []
 
     def extend(self, extension: Extension) -> None:
@@ -128,7 +111,7 @@
 
     def not_up(self) -> str | None:
         """Why this node can't serve requests, or None. In an outage that all nodes share, it is as good as any."""
-        now = time.monotonic()
+        now = steady()
         if not self.types and now - self._began < c.START_PATIENCE_S:
             return "machine types are not known yet"
         if self.state.health() is Health.DOWN and self.link.state_works_elsewhere(now):
@@ -175,14 +158,10 @@
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
     async def run(self) -> None:
-        server = self._server = CountingServer(
-            Front(application(self, [r for e in self._extensions for r in e.routes()]), self.reports.handle),
-            max_body_size=c.MAX_BODY, idle_connection_timeout=c.IDLE_CONNECTION_S)
-        host, port = parse_addr(self.settings.client_listen, "client_listen")
-        server.listen(port, host)
-        back_host, back_port = parse_addr(self.settings.back, "back")
-        self.link.listen(back_port, back_host)
-        self.link.start()
+        front = Front(application(self, [r for e in self._extensions for r in e.routes()]), self.reports.handle)
+        self._server = here().serve(front, *parse_addr(self.settings.client_listen, "client_listen"),
+                                    max_body_size=c.MAX_BODY, idle_connection_timeout=c.IDLE_CONNECTION_S)
+        self.link.start(*parse_addr(self.settings.back, "back"))
         log.info("node %s in %s listens on %s", self.settings.node, self.settings.zone, self.settings.client_listen)
         # What start-up has built lives on: the collector need not look at it again.
         gc.collect()
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Iterable
 
 import msgspec
@@ -17,6 +16,7 @@
 from ..model.picture import START, Picture
 from ..model.recorded import apply_record, committed
 from ..model.task import TaskEvent, TaskState
+from ..net.outside import steady
 from ..wire import state as wire
 from .client import Health, LeaseGone, Malformed, Refused, StateClient, Unknown
 
@@ -64,7 +64,7 @@
         if self.lost or len(self._running) >= parallel:
             return
         free = self.state.writes_free()
-        due, left = self._due(free, time.monotonic())
+        due, left = self._due(free, steady())
         while due and free >= 1 and len(self._running) < parallel:
             free -= self._send(due, min(self.most_ops, free))
         if due or left:
@@ -135,7 +135,7 @@
             for job, _ in batch:
                 await self._reread(job)
         else:
-            now = time.monotonic()
+            now = steady()
             if isinstance(result, wire.Committed):
                 for job, record in batch:
                     committed(self.picture, job, result.revision, record, now)
@@ -160,7 +160,7 @@
             if job.pending is not None:
                 version, value = job.pending
                 job.pending = None
-                apply_record(self.picture, job.ref, version, records.decode(value), time.monotonic())
+                apply_record(self.picture, job.ref, version, records.decode(value), steady())
         self.picture.changed = True
 
     def _again(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
@@ -178,7 +178,7 @@
             return
         if item is not None:
             job.writing = False
-            apply_record(self.picture, job.ref, item.version, records.decode(item.value), time.monotonic())
+            apply_record(self.picture, job.ref, item.version, records.decode(item.value), steady())
 
     def stop(self) -> None:
         if self._timer is not None:
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from enum import Enum
 from typing import Any
 from urllib.parse import quote
@@ -14,7 +13,8 @@
 from .. import constants as c
 from ..config.settings import State
 from ..net.budget import Budget
-from ..net.client import Client, NotSent, Reply, Unanswered
+from ..net.client import NotSent, Reply, Unanswered
+from ..net.outside import here, steady
 from ..wire import state as wire
 
 log = logging.getLogger(__name__)
@@ -65,7 +65,7 @@
 
 class StateClient:
     def __init__(self, host: str, port: int, limits: State, nodes: int) -> None:
-        self._http = Client(host, port)
+        self._http = here().client(host, port)
         self._limits = limits
         self._nodes = nodes
         self._reads = Budget(limits.rps, limits.rps)
@@ -81,7 +81,7 @@
     def set_leading(self, leads: bool) -> None:
         """All nodes share the service's budget: the leader takes the larger part."""
         share = (c.LEADER_SHARE if self._nodes > 1 else 1.0) if leads else self.follower_share()
-        now = time.monotonic()
+        now = steady()
         self._reads.resize(max(2.0, self._limits.rps * share), max(2.0, self._limits.rps * share), now)
         if self._nodes > 1:
             share = c.LEADER_WRITE_SHARE if leads else (1 - c.LEADER_WRITE_SHARE) / (self._nodes - 1)
@@ -96,19 +96,19 @@
         Batches once took every token as it came, and submissions at the leader waited or were refused.
         """
         kept = min(c.SUBMIT_WRITES_KEPT, self._writes.burst * c.SUBMIT_WRITES_SHARE)
-        return max(0, int(self._writes.free(time.monotonic()) - kept))
+        return max(0, int(self._writes.free(steady()) - kept))
 
     # -- health --------------------------------------------------------------------------------
 
     def health(self) -> Health:
         if self._bad_since is None:
             return Health.GOOD
-        if time.monotonic() - self._bad_since < c.STATE_DOWN_AFTER_S:
+        if steady() - self._bad_since < c.STATE_DOWN_AFTER_S:
             return Health.DOUBTFUL
         return Health.DOWN
 
     def _note(self, good: bool) -> None:
-        now = time.monotonic()
+        now = steady()
         if good:
             if self._bad_since is not None and now - self._bad_since >= c.STATE_DOWN_AFTER_S:
                 log.info("state service answers again after %.1f s", now - self._bad_since)
@@ -120,13 +120,13 @@
         """While the service is down, one request per STATE_PROBE_S finds out; the rest are refused at once,
         so that users' connections don't pile up behind a service that does not answer."""
         if self.health() is Health.DOWN:
-            now = time.monotonic()
+            now = steady()
             if now < self._next_probe:
                 raise Refused("state service is down")
             self._next_probe = now + c.STATE_PROBE_S
 
     async def _pace(self, budget: Budget, amount: float, max_wait: float) -> None:
-        wait = budget.reserve(time.monotonic(), amount, max_wait)
+        wait = budget.reserve(steady(), amount, max_wait)
         if wait is None:
             raise Refused("budget of the state service used up")
         if wait > 0:
@@ -148,9 +148,9 @@
             self._note(False)
             raise Unknown(str(err)) from None
         if reply.status == 429:
-            self._reads.penalise(time.monotonic())
+            self._reads.penalise(steady())
             if changes:
-                self._writes.penalise(time.monotonic())
+                self._writes.penalise(steady())
             raise Refused("state service: 429")
         if reply.status >= 500:
             self._note(False)
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import logging
-import random
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +15,7 @@
 from .. import constants as c
 from ..model.leadership import Leadership, Role, RoleEvent
 from ..model.records import LEADER, TERM, LeaderRecord, TermRecord
+from ..net.outside import here, steady
 from ..wire import state as wire
 from .client import LeaseGone, Refused, StateClient, Unknown
 
@@ -37,7 +36,7 @@
         self._pause_until = 0.0
         self._first_look = True
         self.hurry = asyncio.Event()
-        self._rng = random.Random()
+        self._rng = here().chance()
 
     async def run(self) -> None:
         while True:
@@ -55,7 +54,7 @@
     # -- leading -------------------------------------------------------------------------------
 
     async def _renew(self) -> None:
-        sent = time.monotonic()
+        sent = steady()
         try:
             await self.state.touch(self.me.lease, timeout=1.0)
         except LeaseGone:
@@ -71,10 +70,10 @@
             if self.me.role is Role.DOUBTFUL:
                 log.info("leads term %d again: the lease held", self.me.term)
             self.me.move(RoleEvent.RENEWED)
-        await asyncio.sleep(max(0.05, c.LEADER_RENEW_S - (time.monotonic() - sent)))
+        await asyncio.sleep(max(0.05, c.LEADER_RENEW_S - (steady() - sent)))
 
     def check(self) -> None:
-        if self.me.role is Role.LEADER and time.monotonic() >= self.me.valid_until:
+        if self.me.role is Role.LEADER and steady() >= self.me.valid_until:
             self.me.move(RoleEvent.OVERDUE)
             log.info("term %d in doubt: the lease was not renewed in time", self.me.term)
 
@@ -89,7 +88,7 @@
     async def resign(self, why: str) -> None:
         """Hand over: end the lease at once and let the others try first."""
         lease = self.me.lease
-        self._pause_until = time.monotonic() + c.RESIGN_PAUSE_S
+        self._pause_until = steady() + c.RESIGN_PAUSE_S
         self.lose(why)
         try:
             await self.state.release(lease)
@@ -131,7 +130,7 @@
                 log.info("led term %d before it ended: ends that lease", record.term)
                 await self.state.release(item.lease)
                 return
-        elif time.monotonic() >= self._pause_until:
+        elif steady() >= self._pause_until:
             self.known_leader = ""
             await self._campaign()
             return
@@ -144,7 +143,7 @@
 
     async def _campaign(self) -> None:
         self.me.move(RoleEvent.CAMPAIGN)
-        sent = time.monotonic()
+        sent = steady()
         lease = await self.state.grant(c.LEADER_LEASE_S)
         item = await self.state.get(TERM, urgent=True)
         last = _term.decode(item.value).term if item else 0
--- a/winglift/store/keeper.py
+++ b/winglift/store/keeper.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Mapping
 
 import msgspec
@@ -14,6 +13,7 @@
 from ..model import imagebook
 from ..model.leadership import Leadership
 from ..model.records import LEADER
+from ..net.outside import steady
 from ..wire import state as wire
 from .batcher import MAX_TXN
 from .client import Health, LeaseGone, Refused, StateClient, Unknown
@@ -28,7 +28,7 @@
         self.me = me
         self._written: dict[str, bytes] = {}
         self._task: asyncio.Task | None = None
-        self._next = time.monotonic() + c.IMAGES_KEPT_EVERY_S
+        self._next = steady() + c.IMAGES_KEPT_EVERY_S
 
     def due(self, now: float) -> bool:
         """Is there time and budget to write? Never while starts or users may need it."""
@@ -49,7 +49,7 @@
     async def _write(self, pages: dict[str, bytes]) -> None:
         keys = list(pages)
         try:
-            while keys and self.me.entitled(time.monotonic()):
+            while keys and self.me.entitled(steady()):
                 # A few at a time, and only from what starts and users leave.
                 most = min(int(self.state.writes_free() - self.limits.write_rps * c.START_WRITES_KEPT),
                            self.limits.txn_ops, max(1, int(MAX_TXN / (self.limits.value_kb * 1024))))
--- a/winglift/store/mirror.py
+++ b/winglift/store/mirror.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import time
 from collections import OrderedDict
 from collections.abc import Callable
 from typing import Generic, TypeVar
@@ -17,6 +16,7 @@
 
 from .. import constants as c
 from ..model import records
+from ..net.outside import steady
 from .client import Refused, StateClient, TooOld
 
 log = logging.getLogger(__name__)
@@ -56,7 +56,7 @@
             known = self._known.get(ref)
             # A node that stood still between the look and this line would tell what was true before: another node may
             # have told the user something newer meanwhile.
-            if time.monotonic() - self._last_done > c.LOOK_FRESH_S:
+            if steady() - self._last_done > c.LOOK_FRESH_S:
                 raise Refused("this node stood still")
             if known is not None:
                 return known[1]
@@ -71,11 +71,11 @@
         await asyncio.shield(self._next)
 
     async def _look_soon(self) -> None:
-        pause = self._last_sent + self._every_s - time.monotonic()
+        pause = self._last_sent + self._every_s - steady()
         if pause > 0:
             await asyncio.sleep(pause)
         self._next = None
-        sent = self._last_sent = time.monotonic()
+        sent = self._last_sent = steady()
         if self._revision is None:
             async with self._listing:
                 if self._revision is None:
--- a/winglift/workers/commands.py
+++ b/winglift/workers/commands.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
@@ -16,7 +15,8 @@
 from ..model.picture import Picture
 from ..model.reported import on_report
 from ..model.task import PRESENT, TaskState
-from ..net.client import Client, Unanswered
+from ..net.client import Unanswered
+from ..net.outside import here, steady
 from ..wire import workers as w
 from ..wire.users import Invalid
 
@@ -51,7 +51,7 @@
         tasks = self._queue.pop(machine.name, [])
         if not machine.addr or not machine.session:
             return
-        if not self.me.entitled(time.monotonic()):
+        if not self.me.entitled(steady()):
             if not self._ends_only():
                 return
             tasks = [t for t in tasks if t.job.state is JobState.CANCELLED]
@@ -60,11 +60,11 @@
         if not commands:
             return
         host, _, port = machine.addr.partition(":")
-        client = Client(host, int(port), most=0)
+        client = here().client(host, int(port), most=0)
         body = msgspec.json.encode(w.DirectCommands(self.picture.term, machine.session, commands))
         try:
             reply = await client.request("POST", "/commands", body, c.COMMAND_TIMEOUT_S)
             if reply.status in (200, 409):
-                on_report(self.picture, w.parse_report(reply.body), time.monotonic(), direct=True)
+                on_report(self.picture, w.parse_report(reply.body), steady(), direct=True)
         except (Unanswered, Invalid) as err:
             log.debug("direct stop on %s: %s", machine.name, err)
--- a/winglift/workers/probes.py
+++ b/winglift/workers/probes.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Iterable, Mapping
 
 from .. import constants as c
@@ -16,7 +15,8 @@
 from ..model.leadership import Leadership
 from ..model.picture import Picture
 from ..model.reported import on_report
-from ..net.client import Client, Unanswered
+from ..net.client import Unanswered
+from ..net.outside import here, steady
 from ..wire import workers as w
 from ..wire.users import Invalid
 
@@ -47,11 +47,11 @@
 
     async def _ask(self, machine: Machine, control: Machine) -> None:
         """No answer counts only if the control answers: a leader cut off from all workers had given sound ones up."""
-        sent = time.monotonic()
+        sent = steady()
         try:
             answered, reached = await asyncio.gather(self._question(machine), self._question(control))
             # If this node stood still, the answer may have been there.
-            if not answered and reached and time.monotonic() - sent < c.PROBE_TIMEOUT_S + c.PAUSE_S:
+            if not answered and reached and steady() - sent < c.PROBE_TIMEOUT_S + c.PAUSE_S:
                 machine.unanswered = sent
                 self.picture.changed = True
         finally:
@@ -60,10 +60,10 @@
     async def _question(self, machine: Machine) -> bool:
         host, _, port = machine.addr.partition(":")
         try:
-            reply = await Client(host, int(port), most=0).request("GET", "/show", None, c.PROBE_TIMEOUT_S)
+            reply = await here().client(host, int(port), most=0).request("GET", "/show", None, c.PROBE_TIMEOUT_S)
             if reply.status == 200:
-                if self.me.entitled(time.monotonic()):
-                    on_report(self.picture, w.parse_report(reply.body), time.monotonic(), direct=True)
+                if self.me.entitled(steady()):
+                    on_report(self.picture, w.parse_report(reply.body), steady(), direct=True)
                 return True
         except (Unanswered, Invalid) as err:
             log.debug("%s does not answer: %s", machine.name, err)
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -11,7 +11,6 @@
 
 import logging
 import math
-import time
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Protocol
@@ -21,6 +20,7 @@
 from .. import constants as c
 from ..cluster.link import Link, NoLink, Peer
 from ..config.settings import Settings
+from ..net.outside import steady
 from ..wire import workers as w
 from ..wire.users import Invalid
 
@@ -84,7 +84,7 @@
         except Invalid as err:
             log.warning("report dropped: %s", err)
             return 400, msgspec.json.encode({"error": str(err)})
-        now = time.monotonic()
+        now = steady()
         controller = self.node.controller
         home = self._home(report.zone, now)
         if home is not None and not (controller is not None and controller.starts_wait(report.machine)):
@@ -108,7 +108,7 @@
 
     def _note(self, report: w.Report, answer: Answer, away: bool) -> Answer:
         if away and answer[0] == 200:
-            self._known(report.machine, time.monotonic()).served = True
+            self._known(report.machine, steady()).served = True
         return answer
 
     def take(self, report: w.Report) -> Answer | None:
