Clean-up of state as a duty, and guards shown by the tests that miss them

Cause: pages of images of machines that are gone and step records of workflows that ended stayed for good. Tests remove six guards one by one (record before call, fence, the book's revision, the question for the lease, what a successor takes over, the list's age, machines meant to be deleted) and find each missing; a holder stands still between any two callbacks.

--- a/standins/world.py
+++ b/standins/world.py
@@ -83,6 +83,10 @@
             if not host.crashed:
                 host.held.append(handle)
             return
+        if isinstance(host, Host) and host.steps_left:
+            host.steps_left -= 1
+            if not host.steps_left:
+                host.stand_still()
         self.steps += 1
         handle._run()
 
@@ -137,6 +141,7 @@
         self.drift, self.skew_s = drift, skew_s
         self.held: list[asyncio.Handle] | None = None  # while it stands still
         self.crashed = False
+        self.steps_left = 0  # callbacks of it after which it stands still, at any place between two of its steps
         self._drawn = 0
         self.context = contextvars.copy_context()
         self.context.run(outside.enter, self)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -197,6 +197,51 @@
     simulated(scenario())
 
 
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_write_of_a_replaced_holder_changes_nothing_after_its_successor_has_read(monkeypatch, guarded):
+    async def scenario() -> None:
+        service = Service()
+        if not guarded:
+            monkeypatch.setattr(Fence, "condition", lambda self: wire.Condition("leader", service.leader))
+        service.plan = ["late"]
+        made = book(service)
+        await made.load()
+        made.intend(rental(1))
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.05):
+                await during(made, made.record(made.rentals.values()))
+        service.leader = 99
+        after = book(service, 4)
+        await after.load()
+        if guarded:
+            assert isinstance(service.apply(service.late[0]), wire.Conflict)
+        else:
+            # Recorded after the successor had read: an effect that nobody else will ever know of.
+            service.late[0].conditions[0] = made.fence.condition()
+            assert isinstance(service.apply(service.late[0]), wire.Committed) and "t3-1" not in after.rentals
+    simulated(scenario())
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_a_late_write_of_its_own_does_not_replace_a_newer_one(monkeypatch, guarded):
+    async def scenario() -> None:
+        service = Service()
+        service.plan = ["late"]
+        made = book(service)
+
+        async def work() -> None:
+            await made.record([made.intend(rental(1))])
+            await made.record([made.intend(rental(2))])
+            if not guarded:
+                service.late[0].conditions.pop()
+            assert isinstance(service.apply(service.late[0]), wire.Conflict) == guarded
+            after = book(service, 4)
+            await after.load()
+            assert ("t3-2" in after.rentals) == guarded
+        await during(made, work())
+    simulated(scenario())
+
+
 def test_effects_that_come_together_share_a_write_and_too_many_wait_for_their_turn():
     async def scenario() -> None:
         service = Service()
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -13,6 +13,9 @@
 
 from standins.scene import Scene
 from standins.world import Cut, Message
+from winglift import constants
+from winglift.cloud.inventory import Inventory
+from winglift.controller.lead import Controller
 from winglift.duties.book import Book
 from winglift.duties.effect import Event
 
@@ -25,9 +28,9 @@
 class Run:
     """One play: three jobs come at 5 s, two machines die at 32 s, three more come at 36 s; at one step it fails."""
 
-    def __init__(self, fault: str = "", at: int = -1, second: str = "") -> None:
+    def __init__(self, fault: str = "", at: int = -1, steps: int = 0) -> None:
         self.scene = scene = Scene(3, boot_s=6.0, run_s=8.0, lag_s=8.0)
-        self.fault, self.at, self.second = fault, at, second
+        self.fault, self.at, self.stop_after = fault, at, steps
         self.steps: list[tuple[int, str, str]] = []
         self.by_replaced: list[str] = []  # calls to the cloud that a node sent which did not hold the key any more
         self.victim, self.failed_at, self._writes = "", 0.0, 0
@@ -47,9 +50,6 @@
         # The messages come after the successor has acted, and once more after a third holder has.
         self._deliver()
         if fault:
-            held = scene.state.keys.get("leader")
-            if held is not None and held[0]["node"] in scene.nodes and self.second:
-                scene.crash(held[0]["node"])
             scene.loop.run(72.0)
         self.ended = scene.all_end(REFS, 120.0)
         self._deliver()
@@ -86,7 +86,10 @@
         self.victim, self.failed_at = node, scene.loop.now
         host = scene.nodes[node][0]
         if self.fault == "stands still":
-            host.stand_still()
+            if self.stop_after:
+                host.steps_left = self.stop_after
+            else:
+                host.stand_still()
             # What was about to leave it leaves when it wakes: another one holds the duties by then, and no other node
             # gets through to it for a while, so that it learns of that from nobody.
             cuts = [Cut(other, node, True) for other in scene.nodes if other != node]
@@ -94,7 +97,7 @@
             scene.loop.call_later(20.0, host.go_on)
             for cut in cuts:
                 scene.loop.call_later(22.0, scene.net.mend, cut)
-            return "hold" if message.source == node else None
+            return "hold" if message.source == node and not self.stop_after else None
         if self.fault == "crashes":
             scene.loop.call_soon(scene.crash, node)
             scene.loop.call_later(3.0, scene.start, int(node[-1]))
@@ -153,3 +156,66 @@
                 effect.move(Event.RECORD, 0.0)
     monkeypatch.setattr(Book, "record", record)
     assert any("without a recorded intent" in fault for fault in Run().wrong())
+
+
+def test_a_holder_that_stands_still_between_any_two_of_its_steps_sends_nothing_when_it_wakes():
+    """Between the answer to its record and the call lie some callbacks; a message tells none of them apart."""
+    for steps in range(1, 10):
+        assert Run("stands still", 5, steps).wrong() == []
+
+
+def test_without_asking_for_the_lease_last_of_all_a_replaced_holder_calls_the_cloud(monkeypatch):
+    monkeypatch.setattr(Controller, "may_use_cloud", lambda self: True)
+    assert Run("stands still", 5, 1).by_replaced
+
+
+def test_without_what_the_book_tells_a_successor_rents_a_second_time(monkeypatch):
+    """The call was answered, its holder ended, and no list shows the machines yet."""
+    base = plain().scene.cloud.rentals
+    assert Run("crashes", 11).scene.cloud.rentals == base
+    monkeypatch.setattr(Inventory, "take_over", lambda self, now: None)
+    assert Run("crashes", 11).scene.cloud.rentals > base
+
+
+def test_without_the_lists_age_sound_machines_are_given_up(monkeypatch):
+    """A list says nothing about what was rented after the time that it describes."""
+    monkeypatch.setattr(constants, "BOOK_KEEP_MARGIN_S", -1000.0)
+    assert Run("crashes", 3).scene.cloud.rentals > plain().scene.cloud.rentals + 10
+
+
+class Late:
+    """A deletion of an idle machine is held back on the way, its holder ends, a job comes, and then it arrives."""
+
+    def __init__(self) -> None:
+        self.scene = scene = Scene(3, boot_s=6.0, run_s=8.0, lag_s=3.0)
+        self.held = 0
+        scene.net.watch = self._watch
+        scene.start_all()
+        scene.loop.run(5.0)
+        scene.submit("wk-1", pieces=4)
+        assert scene.loop.run(lambda: self.held > 0, most_s=200.0)
+        scene.loop.run(scene.loop.now + 6.0)
+        assert scene.leader() is not None
+        scene.submit("wk-2", pieces=4)
+        scene.loop.run(scene.loop.now + 12.0)
+        for arrive in scene.net.kept:
+            arrive()
+        self.ended = scene.all_end(["wk-1", "wk-2"], 60.0)
+
+    def _watch(self, message: Message) -> str | None:
+        if message.what != "POST /hosts/delete" or self.held:
+            return None
+        self.held += 1
+        self.scene.loop.call_soon(self.scene.crash, message.source)
+        return "hold"
+
+
+def test_a_deletion_that_arrives_late_strikes_nothing_that_a_successor_has_placed():
+    run = Late()
+    assert run.ended and run.scene.broken == []
+    assert [fault for fault in run.scene.loop.faults if "exception" in fault] == []
+
+
+def test_without_the_machines_that_an_earlier_term_meant_to_delete_it_does(monkeypatch):
+    monkeypatch.setattr(Inventory, "take_over", lambda self, now: None)
+    assert any("placed after its deletion was intended" in fault for fault in Late().scene.broken)
--- /dev/null
+++ b/tests/test_tidy.py
@@ -0,0 +1,138 @@
+"""Clean-up of state, against the stand-in state service in simulated time: what goes, what stays, and who may do it."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+from helpers import TYPE, settings
+
+from standins.scene import Scene
+from standins.state import StateService, application
+from standins.world import EPOCH, Host, Network
+from winglift import constants as c
+from winglift.duties.duty import Duties, Name
+from winglift.duties.tidy import Images, Tidy
+from winglift.flows import records
+from winglift.flows.sweep import OldSteps
+from winglift.model import imagebook
+from winglift.model.leadership import Leadership, Role
+from winglift.model.picture import Picture
+from winglift.store.client import StateClient
+from winglift.wire.flows import FlowState, FlowSubmission, How
+
+
+class Place:
+    """A holder of the clean-up beside a state service."""
+
+    def __init__(self) -> None:
+        self.net = Network()
+        self.service, far = StateService(), Host(self.net, "services", "")
+        far.context.run(far.serve, application(self.service), "10.1.0.1", 80)
+        self.host = Host(self.net, "node-0", "a")
+        self.put("leader", {"term": 3, "node": "node-0"})
+        self.me = Leadership(Role.LEADER, 3, 1, self.service.version("leader"), 1e12)
+        limits = settings().settings.state
+        self.state = self.host.context.run(StateClient, "10.1.0.1", 80, limits, 1)
+        self.duties = Duties(self.me)
+        self.duties.know(Name.TIDY)
+        self.tidy = Tidy(self.state, limits, self.duties)
+        self.picture = Picture(settings(), {"g4": TYPE}, 3)
+
+    def put(self, key: str, value: object) -> None:
+        self.net.loop.run(lambda: self.service.apply([{"write": key, "v": msgspec.to_builtins(value)}]) > 0)
+
+    def passes(self, looks: int = 1) -> None:
+        self.host.run(self.tidy.run())
+        self.net.loop.run(self.net.loop.now + looks * (c.TIDY_EVERY_S + 5.0))
+
+    def keys(self, prefix: str) -> set[str]:
+        return {key for key in self.service.keys if key.startswith(prefix)}
+
+
+def images(*machines: str) -> dict:
+    return {"n": ["img"], "s": [5.0], "g": [5.0], "m": {name: [0] for name in machines}}
+
+
+def fill(place: Place) -> None:
+    place.picture.adopt("vm-1", "g4", "a", False, 0.0, 0.0)
+    for number, names in enumerate((["vm-1", "vm-2"], ["vm-3"], [])):
+        place.put(f"{imagebook.PREFIX}{number}", images(*names))
+    place.tidy.sweepers.append(Images(place.state, place.picture))
+
+
+def test_pages_that_name_no_machine_go_and_the_others_stay():
+    place = Place()
+    fill(place)
+    place.passes()
+    assert place.keys(imagebook.PREFIX) == {"image/0"}
+
+
+@pytest.mark.parametrize("what", ["written since", "replaced", "in doubt"])
+def test_a_late_clean_up_removes_nothing(what):
+    place = Place()
+    fill(place)
+    place.host.run(place.tidy.run())
+
+    def late(message):
+        if message.what == "POST /commit":
+            return "hold"
+        return None
+    if what == "in doubt":
+        place.me.valid_until = 0.0
+    else:
+        place.net.watch = late
+    place.net.loop.run(c.TIDY_EVERY_S + 5.0)
+    if what == "written since":
+        place.put("image/1", images("vm-3", "vm-4"))
+        place.put("image/2", images("vm-5"))
+    elif what == "replaced":
+        place.put("leader", {"term": 4, "node": "node-1"})
+    place.net.watch = lambda message: None
+    for arrive in place.net.kept:
+        place.net.loop.run(lambda arrive=arrive: arrive() is None)
+    place.net.loop.run(place.net.loop.now + 1.0)
+    assert place.keys(imagebook.PREFIX) == {"image/0", "image/1", "image/2"}
+
+
+def test_steps_of_workflows_that_ended_a_week_ago_go_and_their_ends_stay():
+    place = Place()
+    old, new = EPOCH - c.TIDY_STEPS_S - 3600.0, EPOCH - 3600.0
+    heads = {"fl-1": (old, FlowState.DONE, old), "fl-2": (old, FlowState.DONE, new),
+             "fl-3": (old, FlowState.OPEN, old), "fl-4": (new, FlowState.DONE, new)}
+    for ref, (submitted, state, ended) in heads.items():
+        sub = FlowSubmission(ref=ref, team="red", plan="p", order="o")
+        place.put(records.HEAD + ref, records.Head(sub, submitted, state, outputs="digest"))
+        for number in range(10):
+            place.put(f"{records.step_prefix(ref)}{number}", records.StepRecord(f"s{number}", How.DONE, ended))
+    place.put(f"{records.HEAD}fl-5", {"foreign": 1})
+    place.tidy.sweepers.append(OldSteps(place.state))
+    place.passes(looks=1 + round(2 * c.TIDY_FLOWS_EVERY_S / c.TIDY_EVERY_S))
+    left = {ref: len(place.keys(records.step_prefix(ref))) for ref in heads}
+    assert left == {"fl-1": 0, "fl-2": 10, "fl-3": 10, "fl-4": 10}
+    head = place.service.keys["flow/fl-1"][0]
+    assert head["state"] == "done" and head["outputs"] == "digest" and head["swept"]
+    assert len(place.keys(records.HEAD)) == 5
+
+
+def test_what_the_service_keeps_beside_jobs_does_not_grow():
+    """Twenty rounds of rentals, ends, deaths, returns and new leaders leave the keys of one."""
+    scene = Scene(3, boot_s=3.0, run_s=4.0, lag_s=2.0)
+    scene.start_all()
+    scene.loop.run(5.0)
+    sizes = []
+    for number in range(20):
+        scene.submit(f"wk-{number}", pieces=6)
+        scene.loop.run(scene.loop.now + 40.0)
+        scene.die(1)
+        leader = scene.leader()
+        assert leader is not None
+        if number % 3 == 0:
+            scene.crash(leader)
+            scene.loop.run(scene.loop.now + 3.0)
+            scene.start(int(leader[-1]))
+        scene.loop.run(scene.loop.now + 80.0)
+        others = {key for key in scene.state.keys if not key.startswith("job/")}
+        assert others <= {"leader", "term", "duty"} | {f"image/{n}" for n in range(c.IMAGE_PAGES)}
+        sizes.append(len(str(scene.state.keys["duty"][0])))
+    assert scene.all_end([f"wk-{n}" for n in range(20)]) and scene.broken == []
+    assert max(sizes) < 1500
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -118,6 +118,11 @@
 BOOK_KEEP_MARGIN_S = 2.0  # s beyond twice the list's lag for which ended effects stay in the book
 BOOK_NOTES_BYTES = 700  # bytes of the book's value left to moments: some thirty of them
 BOOK_NOTES_MOST = 20  # moments of one sort in the book; more are seldom open at a time
+TIDY_EVERY_S = 60.0  # s between two looks for what no longer means anything; it comes slowly
+TIDY_FLOWS_EVERY_S = 3600.0  # s between two looks at all workflows that have ended
+TIDY_REMOVALS_MOST = 100  # transactions found in one look, so that a long history is removed bit by bit
+TIDY_WRITES_KEPT = 0.5  # of the changes a second that must be free before something is removed
+TIDY_STEPS_S = 7 * 86400.0  # s after which the step records of an ended workflow are removed: a week for --reuse
 DELETE_RECORD_S = 0.25  # s that a deletion waits for its record before it is looked at anew: it may be urgent by then
 
 # --- policy -----------------------------------------------------------------------------------
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -15,6 +15,7 @@
 from ..duties.book import Book
 from ..duties.duty import Duties, Name
 from ..duties.duty import State as DutyState
+from ..duties.tidy import Images, Tidy
 from ..model import records
 from ..model.job import JobState
 from ..model.leadership import Role
@@ -62,6 +63,8 @@
         self.batcher = Batcher(state, settings.settings.state, self.picture, self.duties.fence)
         self.inventory = Inventory(cloud, self.picture, lag_s, self.book)
         self.keeper = Keeper(state, settings.settings.state, self.me, self.duties.fence)
+        self.tidy = Tidy(state, settings.settings.state, self.duties)
+        self.tidy.sweepers.append(Images(state, self.picture))
         self.stopper = Stopper(self.picture, self.me, self.ends_only)
         self.prober = Prober(self.picture, self.me)
         self.view = View(settings, self.picture, self.inventory, script, self._may_rent)
@@ -83,7 +86,7 @@
     def start(self) -> None:
         self._tasks = [asyncio.ensure_future(self._guard(job)) for job in
                        (self._recall, self.following.run, self._take_over, self.inventory.run, self.book.run,
-                        self._cycle)]
+                        self.tidy.run, self._cycle)]
 
     def stop(self) -> None:
         for task in self._tasks:
--- a/winglift/flows/records.py
+++ b/winglift/flows/records.py
@@ -21,7 +21,8 @@
 
 
 class Head(msgspec.Struct, omit_defaults=True):
-    """`tidy`: all jobs of a workflow that ended early are known to be cancelled."""
+    """`tidy`: all jobs of a workflow that ended early are known to be cancelled. `swept`: its step records are
+    removed."""
 
     sub: FlowSubmission
     submitted: float  # time of day
@@ -30,6 +31,7 @@
     errors: str = ""
     outputs: str | None = None
     tidy: bool = False
+    swept: bool = False
 
 
 class StepRecord(msgspec.Struct, omit_defaults=True):
--- a/winglift/flows/service.py
+++ b/winglift/flows/service.py
@@ -25,6 +25,7 @@
 from .files import Files, FilesError, Missing
 from .graph import Node, lay_open, plain
 from .settings import FlowSettings
+from .sweep import OldSteps
 from .values import FlowError, job_ref
 
 log = logging.getLogger(__name__)
@@ -60,6 +61,7 @@
 
     def lead(self, controller: Controller) -> None:
         self.driver = Driver(controller, self.jobs, self.files, self.engines, self.settings)
+        controller.tidy.sweepers.append(OldSteps(controller.state))
 
     def follow(self) -> None:
         if self.driver is not None:
