--- a/standins/scene.py
+++ b/standins/scene.py
@@ -80,6 +80,10 @@
         for number in range(len(self.addresses)):
             self.start(number)
 
+    def later(self, seconds: float, what: Callable[..., object], *args: Any) -> None:
+        """Happens whatever becomes of the host whose message a test is looking at."""
+        self.loop.call_later(seconds, what, *args, context=self.net.own)
+
     def crash(self, name: str) -> None:
         self.nodes.pop(name)[0].crash()
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -191,7 +191,7 @@
 class Network:
     def __init__(self, seed: int = 0) -> None:
         self.loop = Loop()
-        self._own = contextvars.Context()  # belongs to no host: what is on its way moves on while hosts stand still
+        self.own = contextvars.Context()  # belongs to no host: what is on its way moves on while hosts stand still
         self.seed = seed
         self.rng = random.Random(f"{seed}/network")
         self.listeners: dict[str, tuple[Host, Any]] = {}
@@ -223,7 +223,7 @@
         if cut in self.cuts:
             self.cuts.remove(cut)
         for deliver in cut.held:
-            self.loop.call_later(0.01, deliver, context=self._own)
+            self.loop.call_later(0.01, deliver, context=self.own)
         cut.held.clear()
 
     def _cut(self, source: Host, target: Host) -> Cut | None:
@@ -252,7 +252,7 @@
         elif cut is None and verdict is None:
             delay = self.rng.uniform(0.0005, 0.004) + (0.2 if self.rng.random() < self.loss else 0.0)
             when = max(self.loop.now + delay, after)
-            self.loop.call_at(when, arrive, context=self._own)
+            self.loop.call_at(when, arrive, context=self.own)
             return when
         return math.inf
 
--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -20,7 +20,7 @@
 from winglift.duties.effect import Event
 
 REFS = [f"wk-{n}" for n in range(6)]
-FAULTS = ["stands still", "crashes", "held", "no answer"]
+FAULTS = ["stands still", "crashes", "held", "no answer", "outage", "crashes in an outage"]
 PARTS = 4  # of the steps, so that they can be played side by side
 STEPS = ("POST /commit", "POST /hosts", "POST /hosts/delete")
 
@@ -94,19 +94,24 @@
             # gets through to it for a while, so that it learns of that from nobody.
             cuts = [Cut(other, node, True) for other in scene.nodes if other != node]
             scene.net.cuts += cuts
-            scene.loop.call_later(20.0, host.go_on)
+            scene.later(20.0, host.go_on)
             for cut in cuts:
-                scene.loop.call_later(22.0, scene.net.mend, cut)
+                scene.later(22.0, scene.net.mend, cut)
             return "hold" if message.source == node and not self.stop_after else None
-        if self.fault == "crashes":
-            scene.loop.call_soon(scene.crash, node)
-            scene.loop.call_later(3.0, scene.start, int(node[-1]))
+        if "outage" in self.fault:
+            scene.state.down = True
+            scene.later(6.0, setattr, scene.state, "down", False)
+        if self.fault == "outage":
+            return None
+        if self.fault.startswith("crashes"):
+            scene.later(0.0, scene.crash, node)
+            scene.later(3.0, scene.start, int(node[-1]))
             return None
         if self.fault == "held":
             if message.source == node:
                 # It waits on the way for minutes, and the node with it is gone from the others' sight.
-                scene.loop.call_soon(scene.crash, node)
-                scene.loop.call_later(3.0, scene.start, int(node[-1]))
+                scene.later(0.0, scene.crash, node)
+                scene.later(3.0, scene.start, int(node[-1]))
             return "hold"
         return "drop"
 
@@ -206,7 +211,7 @@
         if message.what != "POST /hosts/delete" or self.held:
             return None
         self.held += 1
-        self.scene.loop.call_soon(self.scene.crash, message.source)
+        self.scene.later(0.0, self.scene.crash, message.source)
         return "hold"
 
 
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -4,10 +4,13 @@
 
 import asyncio
 
-from helpers import TYPE, OpenBook, settings
+from helpers import TYPE, OpenBook, settings, simulated, spec
 
 from winglift.cloud.inventory import Inventory
+from winglift.duties.effect import State
+from winglift.model import records
 from winglift.model.picture import Picture
+from winglift.model.recorded import apply_record
 from winglift.policy.snapshot import Rental
 
 
@@ -61,3 +64,33 @@
         assert sorted(n for _, _, n in cloud.requests) == [1, 1, 2]
         assert not [t for t in inventory._tasks if t.done() and t.exception()]
     asyncio.run(scenario())
+
+
+class StuckBook(OpenBook):
+    """The state service is away: nothing is recorded."""
+
+    async def record(self, effects):
+        await asyncio.Event().wait()
+
+
+def test_without_the_state_service_only_what_a_cancellation_demands_is_deleted():
+    """`cancel_s` runs on in an outage, and what demands this deletion is in the job's record."""
+    async def scenario() -> None:
+        deleted: list[str] = []
+
+        class Cloud:
+            async def delete(self, names, ends=False):
+                assert ends
+                deleted.extend(names)
+        picture = Picture(settings(), {"g4": TYPE}, 1)
+        inventory = Inventory(Cloud(), picture, 3.0, StuckBook())  # type: ignore[arg-type]
+        machines = [picture.adopt(f"vm-{n}", "g4", "a", False, 0.0, 90.0) for n in range(3)]
+        job = apply_record(picture, "wk-1", 5, records.JobRecord(
+            submitted=0.0, spec=spec("wk-1"), state="c", cancelled=1.0, places=[("vm-1", 1, "0")]), 0.0)
+        assert job is not None
+        for machine in machines:
+            inventory.delete(machine, "of any reason")
+        await asyncio.sleep(5.0)
+        assert deleted == ["vm-1"] and set(picture.machines) == {"vm-0", "vm-2"}
+        assert inventory.book.deletions["vm-0"].state is State.INTENDED
+    simulated(scenario())
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -14,10 +14,12 @@
 from test_leader import leader
 
 from winglift import constants as c
+from winglift.controller.view import Kept
+from winglift.duties import page
 from winglift.duties.duty import Fence, Name
 from winglift.model import imagebook, records
 from winglift.model.leadership import Leadership, Role
-from winglift.model.machine import MachineState
+from winglift.model.machine import MachineEvent, MachineState
 from winglift.model.picture import Picture
 from winglift.model.recorded import apply_record
 from winglift.policy.care import Care
@@ -27,6 +29,7 @@
 from winglift.store.keeper import Keeper
 from winglift.wire import state as wire
 from winglift.wire import workers as w
+from winglift.wire.users import Kind
 
 WORKERS = settings().settings.workers
 SKEW_S = 2.0
@@ -245,3 +248,47 @@
     # Once, since nothing has changed since; under the leader's key; a few at a time.
     assert len(keys) == len(set(keys)) == (c.IMAGE_PAGES if written else 0)
     assert all(txn.conditions == [wire.Condition("leader", 77)] and len(txn.changes) <= 8 for txn in txns)
+
+
+def test_moments_reach_the_next_leader_by_way_of_the_book():
+    """Each was forgotten at every change of the leader: refusals, moves, half-told stops, kept room, suspicions."""
+    made, _ = leader(True, [("vm-1", "a", 999.5), ("vm-2", "b", 999.5)])
+    gang = records.JobRecord(submitted=0.0, spec=spec("wk-1", kind=Kind.GANG), next_attempt=3,
+                             places=[("vm-1", 2, "0"), ("vm-2", 2, "1")])
+    other = records.JobRecord(submitted=0.0, spec=spec("wk-2"), next_attempt=2)
+    for ref, record in (("wk-1", gang), ("wk-2", other)):
+        apply_record(made.picture, ref, 11, record, 900.0)
+    made.picture.on_stop = lambda task: None
+    made.picture.stop(made.picture.jobs["wk-1"].active[0], 4.0, 1000.0, "makes room")
+    made.picture.jobs["wk-2"].failed_on = {"vm-7": None, "vm-8": None}
+    machine = made.picture.machines["vm-2"]
+    machine.drain_reason = "emptied"
+    machine.move(MachineEvent.DRAIN)
+    made.inventory.refused["g4", "a", True] = 1006.0
+    made.leaving.next_move = 1050.0
+    made.view.kept["wk-3"] = Kept(["vm-1", "vm-2"], 997.0)
+    found = page.Page(1.7e9, 3)
+    made.handover.note(found, 1000.0, 1.7e9)
+    found = page.decode(page.encode(found))
+
+    after, _ = leader(True, [])
+    after.picture.on_stop = lambda task: None
+    for ref, record in (("wk-1", gang), ("wk-2", other)):
+        apply_record(after.picture, ref, 11, record, 50.0)
+    after.handover.recall(found, 50.0, 1.7e9 + 2.0)
+    after.picture.adopt("vm-2", "g4", "b", False, 50.0, 90.0)
+    after.handover.watch()
+    assert after.picture.machines["vm-2"].state is MachineState.DRAINING
+    assert after.picture.machines["vm-2"].drain_reason == "emptied"
+    assert after.inventory.refused == {("g4", "a", True): pytest.approx(54.0)}
+    assert after.leaving.next_move == pytest.approx(98.0)
+    assert all(task.stopping for task in after.picture.jobs["wk-1"].active.values())
+    assert set(after.picture.jobs["wk-2"].failed_on) == {"vm-7", "vm-8"}
+    assert after.view.kept["wk-3"].machines == ["vm-1", "vm-2"] and after.view.kept["wk-3"].since == pytest.approx(45.0)
+    # A later attempt was not meant, nor is a moment taken further off than it may ever be.
+    later, _ = leader(True, [])
+    apply_record(later.picture, "wk-1", 12, msgspec.structs.replace(gang, places=[("vm-1", 3, "0-1")]), 50.0)
+    later.handover.recall(found, 50.0, 1.7e9 - 5000.0)
+    assert not any(task.stopping for task in later.picture.jobs["wk-1"].active.values())
+    assert later.inventory.refused["g4", "a", True] <= 50.0 + c.NO_CAPACITY_PAUSE_S
+    assert later.leaving.next_move <= 50.0 + c.MOVE_MOST_S
--- a/winglift/controller/handover.py
+++ b/winglift/controller/handover.py
@@ -41,8 +41,9 @@
         page.refused = [(*key, round(today + until - now, 1)) for key, until in self.inventory.refused.items()
                         if until > now][:most]
         page.next_move = round(today + self.leaving.next_move - now, 1) if self.leaving.next_move > now else 0.0
-        page.stopping = [j.ref for j in self.picture.jobs.values() if j.kind is Kind.GANG and j.is_open
-                         and any(t.stopping for t in j.active.values())][:most]
+        stopping = [(j.ref, t.attempt) for j in self.picture.jobs.values() if j.kind is Kind.GANG and j.is_open
+                    for t in j.active.values() if t.stopping]
+        page.stopping = dict(list(dict(stopping).items())[:most])
         page.kept = {ref: (round(today + kept.since - now, 1), pack_names(kept.machines))
                      for ref, kept in list(self.view.kept.items())[:most]}
         page.failed_on = {j.ref: list(j.failed_on) for j in self.picture.jobs.values()
@@ -63,9 +64,10 @@
                 inventory.refused[mtype, zone, spot] = now + left
         if page.next_move > today:
             self.leaving.next_move = now + min(page.next_move - today, c.MOVE_MOST_S)
-        for ref in page.stopping:
+        for ref, attempt in page.stopping.items():
             job = picture.jobs.get(ref)
-            if job is not None and job.kind is Kind.GANG and job.is_open and job.active:
+            # A later attempt has been placed since the book was written: it was not meant.
+            if job is not None and job.is_open and any(t.attempt == attempt for t in job.active.values()):
                 # Parts of it have been told: the others are told too, as soon as they are heard, so that the gang ends
                 # in order and is not found in half.
                 log.info("%s was being stopped when term %d began: the stop goes on", ref, picture.term)
--- a/winglift/duties/page.py
+++ b/winglift/duties/page.py
@@ -47,7 +47,7 @@
     leaving: dict[str, str] = {}  # machine being emptied: why
     refused: list[tuple[str, str, bool, float]] = []  # type, zone, spot, until
     next_move: float = 0.0
-    stopping: list[str] = []  # gangs told to stop, of which parts may not have heard it
+    stopping: dict[str, int] = {}  # gang told to stop, of which parts may not have heard it: the attempt
     kept: dict[str, tuple[float, str]] = {}  # gang: since when room is being made for it, and where
     failed_on: dict[str, list[str]] = {}  # job that looks mistaken: machines where it failed
 
