A new leader rents in no zone that it has not heard of yet

Cause: renting at once after a takeover, a successor does not know a cut yet: a cut zone, out of reach, looks empty.

--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -122,3 +122,24 @@
     assert ended == []
     asyncio.run(scenario(True))
     assert ended == ["node-1"]
+
+
+def test_a_new_leader_rents_in_no_zone_that_may_be_cut_off_until_it_has_heard_of_it():
+    """It has seen no silence yet, and with its machines out of reach a zone looks empty."""
+    def at(now: float, heard: dict[str, float | None]):
+        made, _ = leader(True, [(name, name[3], None) for name in ("vm-a1", "vm-a2", "vm-b1", "vm-b2")])
+        for machine in made.picture.machines.values():
+            machine.known_since = 1000.0
+        made.care.look(1000.0, 1e9, True, True)
+        for name, when in heard.items():
+            made.picture.machines[name].last_heard = when
+        made.care.look(now, 1e9, True, True)
+        return made.care
+    assert at(1000.2, {}).awaits_all
+    one = at(1000.2, {"vm-a1": 1000.1})
+    assert one.unheard == {"b"} and not one.awaits_all and not one.cut
+    both = at(1000.2, {"vm-a1": 1000.1, "vm-b2": 1000.1})
+    assert not both.unheard and not both.awaits_all
+    later = at(1003.5, {"vm-a1": 1003.4, "vm-a2": 1003.4})
+    assert not later.unheard and later.cut == {"b"}
+    assert not leader(True, [])[0].care.awaits_all
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -147,7 +147,7 @@
 
     def _may_rent(self) -> bool:
         """Whatever was rented before is known: by the book what is too new for the list, by the list the rest."""
-        return self.duties.may(Name.CLOUD, steady())
+        return self.duties.may(Name.CLOUD, steady()) and not self.care.awaits_all
 
     def take_job(self, ref: str, version: int, record: records.JobRecord) -> None:
         """A record that this node or another has committed."""
@@ -241,7 +241,8 @@
             # Reserves, returns and moves can wait a second; only waiting tasks are planned for at every change.
             if idle or any(job.has_waiting for job in picture.jobs.values()):
                 self._last_plan = now
-                snap = self.view.snapshot(now, self.leaving.may_move(now), self.care.cut, self.care.attended)
+                cut = self.care.cut | self.care.unheard
+                snap = self.view.snapshot(now, self.leaving.may_move(now), cut, self.care.attended)
                 self._apply(make_plan(snap), now)
             self.leaving.drain(now)
         self.batcher.flush()
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -39,6 +39,9 @@
         self.cut: frozenset[str] = frozenset()  # zones most of whose machines are silent now
         self._uneasy_until: dict[str, float] = {}  # zones most of whose machines had missed a report
         self._cut_until: dict[str, float] = {}
+        self._began: float | None = None  # this leader's first look
+        self.unheard: frozenset[str] = frozenset()  # zones of which a new leader has heard nothing yet
+        self.awaits_all = False  # nothing has been heard at all yet
 
     def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
         """Which machines are to be deleted now.
@@ -63,6 +66,7 @@
         if sum(up.values()) >= 2 and now - last > c.LEADER_DEAF_S and not hears_anyone:
             return Verdict(deaf=True)
         self.cut = frozenset(z for z, count in silent.items() if count > max(1.0, c.ZONE_SILENT_PART * up[z]))
+        self._await(now, up)
         for zone in self.cut:
             # When a cut ends, a zone's machines come back one by one. Those still silent were once deleted then,
             # nine machines at a time.
@@ -93,6 +97,16 @@
                     found.controls[machine.zone] = machine
         return found
 
+    def _await(self, now: float, up: dict[str, int]) -> None:
+        """A cut shows by silence alone, which a new leader has not seen yet: until a zone's first report, or for as
+        many as make silence, nothing is rented there. Reports of a zone that lives come within milliseconds."""
+        if self._began is None:
+            self._began = now
+        soon = now - self._began <= c.ZONE_SILENT_REPORTS * self.workers.report_s
+        heard = {m.zone for m in self.picture.machines.values() if m.last_heard is not None}
+        self.unheard = frozenset(zone for zone in up if soon and zone and zone not in heard)
+        self.awaits_all = bool(self.unheard) and not heard
+
     def quiet(self, now: float) -> list[Machine]:
         """The machines not heard for some reports: a successor goes on counting from when they were heard last."""
         limit = c.ZONE_SILENT_REPORTS * self.workers.report_s
