What an earlier term has begun to delete is told in one line

Cause: after a takeover the log named each of some 60 machines that were gone already. Change: such a deletion is told at debug unless tasks are on the machine; the line of the taking over counts them.

--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -155,11 +155,13 @@
     def delete(self, machine: Machine, why: str) -> None:
         if machine.state is MachineState.DELETING or machine.name in self._to_delete:
             return
-        log.info("deletes %s in %s: %s (%d tasks)", machine.name, machine.zone, why, len(machine.tasks))
+        effect = self.book.intend(Effect(machine.name, steady()))
+        # What an earlier term has begun is told in one line (`take_over`): most of it is gone already.
+        log.log(logging.DEBUG if effect.taken_over and not machine.tasks else logging.INFO,
+                "deletes %s in %s: %s (%d tasks)", machine.name, machine.zone, why, len(machine.tasks))
         # From here on nothing is placed there, by this holder or by a later one (invariant 2): once its deletion may
         # have been sent, it may be carried out minutes from now.
         machine.move(MachineEvent.DELETE)
-        self.book.intend(Effect(machine.name, steady()))
         self._to_delete[machine.name] = machine
         if len(self._to_delete) == 1:
             self.spawn(self._delete())
