A moment in the book that can't be read keeps no holder from its duties

Cause: names of kept room that this program did not write would have ended each new leader's taking over. Change: such a moment is named in the log and left out. Result: part of the test of moments; nothing else changes.

--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -288,7 +288,9 @@
     # A later attempt was not meant, nor is a moment taken further off than it may ever be.
     later, _ = leader(True, [])
     apply_record(later.picture, "wk-1", 12, msgspec.structs.replace(gang, places=[("vm-1", 3, "0-1")]), 50.0)
+    found.kept["wk-4"] = (0.0, "vm-|no range")
     later.handover.recall(found, 50.0, 1.7e9 - 5000.0)
+    assert set(later.view.kept) == {"wk-3"}
     assert not any(task.stopping for task in later.picture.jobs["wk-1"].active.values())
     assert later.inventory.refused["g4", "a", True] <= 50.0 + c.NO_CAPACITY_PAUSE_S
     assert later.leaving.next_move <= 50.0 + c.MOVE_MOST_S
--- a/winglift/controller/handover.py
+++ b/winglift/controller/handover.py
@@ -14,6 +14,7 @@
 from ..model.blame import suspect
 from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
+from ..model.records import BadRecord
 from ..wire.users import Kind
 from .leaving import Leaving
 from .view import Kept, View
@@ -74,7 +75,11 @@
                 grace = job.spec.save_s + c.STOP_GRACE_MARGIN_S if job.spec.checkpoint_s > 0 else 0.0
                 picture.stop_all(job, now, "an earlier term has begun to stop it", grace)
         for ref, (since, names) in page.kept.items():
-            self.view.kept[ref] = Kept(unpack_names(names), now - max(0.0, today - since))
+            try:
+                self.view.kept[ref] = Kept(unpack_names(names), now - max(0.0, today - since))
+            except BadRecord as err:
+                # A moment is no promise: it must not keep a holder from its duties.
+                log.error("room kept for %s: %s", ref, err)
         for ref, machines in page.failed_on.items():
             job = picture.jobs.get(ref)
             if job is not None and job.is_open and not job.failed_on:
