Whole nodes in an outage: a cancelled task's machine is deleted within cancel_s

Change: a play with three nodes, a machine out of reach and the state service away after the cancellation. Result: deleted within 35 s of the user's answer; everything else waits for its record.

--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -17,7 +17,7 @@
 from winglift.cloud.inventory import Inventory
 from winglift.controller.lead import Controller
 from winglift.duties.book import Book
-from winglift.duties.effect import Event
+from winglift.duties.effect import Event, State
 
 REFS = [f"wk-{n}" for n in range(6)]
 FAULTS = ["stands still", "crashes", "held", "no answer", "outage", "crashes in an outage"]
@@ -224,3 +224,23 @@
 def test_without_the_machines_that_an_earlier_term_meant_to_delete_it_does(monkeypatch):
     monkeypatch.setattr(Inventory, "take_over", lambda self, now: None)
     assert any("placed after its deletion was intended" in fault for fault in Late().scene.broken)
+
+
+def test_an_outage_of_the_state_service_blocks_no_deletion_that_a_cancellation_demands():
+    """The machine can't be reached, its job is cancelled, and from then on nothing can be recorded."""
+    scene = Scene(3, boot_s=6.0, lag_s=3.0)
+    scene.start_all()
+    scene.loop.run(5.0)
+    scene.submit("wk-900", pieces=2)
+    assert scene.loop.run(lambda: any(w.tasks for w in scene.cloud.workers()), most_s=60.0)
+    scene.loop.run(scene.loop.now + 2.0)
+    holder = next(name for name, (_, w, _) in scene.cloud.machines.items() if w is not None and w.tasks)
+    scene.net.cuts += [Cut(holder, "", True), Cut("", holder, True)]
+    scene.poll("wk-900", cancel=True)
+    assert scene.loop.run(lambda: "wk-900" in scene.ended, most_s=10.0)
+    told = scene.loop.now
+    scene.state.down = True
+    assert scene.loop.run(lambda: holder not in scene.cloud.machines, most_s=60.0)
+    assert scene.loop.now - told < 35.0 and scene.broken == []
+    assert all(effect.name == holder or effect.state is State.INTENDED for _, node in scene.nodes.values()
+               if node.controller is not None for effect in node.controller.book.deletions.values())
