--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -47,7 +47,7 @@
         for ref in REFS[3:]:
             scene.submit(ref, pieces=4)
         scene.loop.run(60.0)
-        # The messages come after the successor has acted, and once more after a third holder has.
+        # What was held arrives after the successor has acted.
         self._deliver()
         if fault:
             scene.loop.run(72.0)
