Machine types that differ in kind: the whole machine counts, dear ones wait

Two GPU machines were kept warm, and two held by replicas, for minutes after the last gang. Types without a useful field hid all others.

--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -60,10 +60,12 @@
 
 class Jobs:
     def __init__(self, settings: Settings, state: StateClient, types: Callable[[], dict[str, MachineType]],
-                 on_change: Callable[[str, int, records.JobRecord], None]) -> None:
+                 on_change: Callable[[str, int, records.JobRecord], None],
+                 missing: Callable[[], dict[str, MachineType]] = dict) -> None:
         self.settings = settings
         self.state = state
         self.types = types
+        self.missing = missing  # types that the cloud has offered before
         self._on_change = on_change
         self._ends: OrderedDict[str, StatusReply] = OrderedDict()
         looks = settings.settings.state.rps * state.follower_share() * c.LOOK_SHARE
@@ -113,6 +115,9 @@
             known = await self.status(spec.ref)
             if known is not None:
                 return 200, known
+            if not unknown and feasible(spec, self.settings, types | self.missing()) is None:
+                # The cloud's answer may be short for a moment; a refusal is for ever.
+                raise NotNow("the only machine type that it fits is not offered now")
             raise NotNow(why) if unknown else NeverRuns(why)
         record = records.fresh(spec, wall())
         if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * 0.6:
--- a/winglift/cloud/client.py
+++ b/winglift/cloud/client.py
@@ -43,6 +43,7 @@
         self.entitled: Callable[[], bool] = lambda: True
         self.may_end: Callable[[], bool] = lambda: False  # in doubt, may it still delete what holds cancelled tasks?
         self._budget = Budget(limits.rps, limits.rps)
+        self._ends_waiting = 0  # deletions for cancelled tasks that wait for their turn: all else waits behind them
         self.set_leading(False)
 
     def set_leading(self, leads: bool) -> None:
@@ -52,12 +53,16 @@
 
     async def turn(self) -> None:
         """Wait until a call could be sent at once."""
-        while self._budget.free(steady()) < 1:
+        while self._ends_waiting or self._budget.free(steady()) < 1:
             await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
 
     async def _call(self, method: str, path: str, body: bytes | None = None, ends: bool = False) -> Reply:
-        while not self._budget.take(steady()):
-            await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
+        self._ends_waiting += ends
+        try:
+            while (self._ends_waiting and not ends) or not self._budget.take(steady()):
+                await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
+        finally:
+            self._ends_waiting -= ends
         # A node that stood still woke in this queue: what it had decided before is another leader's to decide now.
         if body is not None and not self.entitled() and not (ends and self.may_end()):
             raise NotEntitled("not entitled to act")
@@ -79,8 +84,15 @@
             raise CloudError(f"odd answer of the cloud: {err}") from None
 
     async def types(self) -> dict[str, wire.MachineType]:
-        found = self._decode(_types, await self._call("GET", "/flavors"))
-        return {t.name: t for t in found.types}
+        found: dict[str, wire.MachineType] = {}
+        for raw in self._decode(_types, await self._call("GET", "/flavors")).types:
+            try:
+                mtype = wire.machine_type(raw)
+            except ValueError as err:
+                log.error("a machine type of the cloud is left out: %s", err)
+                continue
+            found[mtype.name] = mtype
+        return found
 
     async def rent(self, request: wire.Rent) -> list[str]:
         reply = await self._call("POST", "/hosts", msgspec.json.encode(request))
--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -21,6 +21,8 @@
 
 log = logging.getLogger(__name__)
 
+Place = tuple[str, str, bool]  # type, zone, spot
+
 
 class Inventory:
     def __init__(self, cloud: CloudClient, picture: Picture, list_lag_s: float, book: Book) -> None:
@@ -29,11 +31,12 @@
         self.list_lag_s = list_lag_s
         self.book = book
         self.asked: dict[str, Effect] = {}  # rentals without an answer: their machines count as booting
-        self.refused: dict[tuple[str, str, bool], float] = {}
+        self.refused: dict[Place, float] = {}  # until when it is not asked for again
+        self._in_a_row: dict[Place, int] = {}  # refusals since anything was to be had there
         self.listed_once = False
         self._number = 0
         self._tasks: set[asyncio.Task] = set()
-        self._unsent: dict[tuple[str, str, bool], Effect] = {}
+        self._unsent: dict[Place, Effect] = {}
         self._to_delete: dict[str, Machine] = {}
         self._sender: asyncio.Task | None = None
 
@@ -72,6 +75,8 @@
         """Send what waits, the largest request first, one whenever the cloud's rate allows a call."""
         while self._unsent:
             await self.cloud.turn()
+            if not self._still_wanted():
+                continue
             key = max(self._unsent, key=lambda k: _count(self._unsent[k]))
             # From here on its request stays as it is: a name stands for one request, for ever.
             effect = self.book.intend(self._unsent.pop(key))
@@ -84,6 +89,28 @@
             self.spawn(self._rent(effect))
             await asyncio.sleep(0)  # let the call take its turn
 
+    def _still_wanted(self) -> bool:
+        """Leave out what was refused since it was asked for: what waits on it finds the next choice at once.
+
+        Such requests once went out all the same, ten in a row, while their tasks counted on machines that never came.
+        """
+        for key in [k for k in self._unsent if self.refused.get(k, 0.0) > steady()]:
+            effect = self._unsent.pop(key)
+            self.asked.pop(effect.name, None)
+            self.picture.changed = True
+        return bool(self._unsent)
+
+    def _refuse(self, key: Place, now: float) -> None:
+        """All of a type, zone and kind is taken: ask again later, and ever more rarely while that stays so."""
+        row = self._in_a_row[key] = self._in_a_row.get(key, 0) + 1
+        self.refused[key] = now + min(c.NO_CAPACITY_PAUSE_S * 2 ** (row - 1), c.NO_CAPACITY_MOST_S)
+
+    def _freed(self, machine: Machine) -> None:
+        """One of its kind was given back: it can be had again."""
+        key = (machine.type_name, machine.zone, machine.spot)
+        self.refused.pop(key, None)
+        self._in_a_row.pop(key, None)
+
     async def _rent(self, effect: Effect) -> None:
         request = effect.request
         assert request is not None
@@ -98,7 +125,7 @@
                     self.book.abandon(effect, steady())
                     log.info("cloud refuses %d %s in %s (%s)", request.count, request.type, request.zone,
                              "spot" if request.spot else "ordinary")
-                    self.refused[key] = steady() + c.NO_CAPACITY_PAUSE_S
+                    self._refuse(key, steady())
                     return
                 except CloudError as err:
                     # The same name again: if it was carried out, the answer is the same and nothing more is rented.
@@ -106,7 +133,9 @@
                     await asyncio.sleep(c.CLOUD_PAUSE_S)
             now = steady()
             if len(names) < request.count:
-                self.refused[key] = now + c.NO_CAPACITY_PAUSE_S
+                self._refuse(key, now)
+            else:
+                self._in_a_row.pop(key, None)
             log.info("rented %s in %s (%s): %s", request.type, request.zone,
                      "spot" if request.spot else "ordinary", " ".join(names))
             effect.machines = tuple(names)
@@ -195,6 +224,7 @@
                 self.book.settle(effect, now)
             for name, machine in batch.items():
                 self._to_delete.pop(name, None)
+                self._freed(machine)
                 self.picture.machine_gone(machine, now)
 
     # -- the list ------------------------------------------------------------------------------
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -97,7 +97,8 @@
 LIST_PAGE = 500  # machines in one list answer, the protocol's most
 RENT_MOST = 50  # machines in one rental request, the protocol's most
 DELETE_MOST = 100  # machines in one deletion, the protocol's most
-NO_CAPACITY_PAUSE_S = 8.0  # s until a refused type, zone and kind is asked for again
+NO_CAPACITY_PAUSE_S = 8.0  # s until a refused type, zone and kind is asked for again; doubled by each refusal in a row
+NO_CAPACITY_MOST_S = 32.0  # s; the longest such pause. With 14 places full, one call each in 8 s took all of 2 a second
 CLOUD_PAUSE_S = 1.0  # s after a failed cloud call
 BOOT_DEFAULT_S = 60.0  # s; assumed while a machine's type is unknown
 GANG_PATIENCE = 5.0  # boot times for which a gang that found no room goes on renting
@@ -148,12 +149,19 @@
 MOVE_LOSS_SHARE = 0.001  # of all replica time; what moving replicas may cost, which paces the moves
 MOVE_MOST_S = 3600.0  # s; the longest pause between two moves, however few replicas there are
 MOVE_AWAY_S = 0.5  # s a moved replica is away, besides the wait for a report: stop, commit, start
+DEAR_MOST = 3.0  # times the cheapest adequate price; past it work with a deadline waits: what is overdue in the end is
+# bought elsewhere at twice its cost, and a machine without its boot and idle end is some two thirds of what is paid
+PRICE_LEAST = 0.01  # an hour; what divides by a price takes at least this: a price may be 0
+LATE_ALIKE = 1.25  # of the shortest way to a late task's end: choices within it are as late as each other, and the
+# cheapest of them is taken: 3 s of a boot and a fetch less once cost three times the price
 RESERVE_DEVIATIONS = 2.0  # arrivals beyond the expected ones that the reserve covers, in standard deviations
 IDLE_KEEP_S = 35.0  # s; an idle machine past its first paid stretch is kept this long
 RECENT_ARRIVALS = 500  # arrivals kept to size the reserve; far more than come in its window's useful part
 RESERVE_WINDOW_S = 300.0  # s; arrivals this recent size the warm reserve
 RESERVE_SLOT_S = 10.0  # s; stretches in which arrivals are counted
 RESERVE_SPAN_S = 60.0  # s; arrivals over less than this say little about a rate
+RESERVE_QUIET_GAPS = 8.0  # usual gaps without an arrival, after which no more are expected: by chance one of 3,000
+RESERVE_QUIET_S = 60.0  # s; and at least so long: outages and restarts keep arrivals away for half a minute
 PAUSE_S = 1.0  # s that a pass of the cycle begins late: then this node stood still
 
 # --- memory and sockets -----------------------------------------------------------------------
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -299,6 +299,11 @@
             task = job.active.get(index) if job else None
             if task is not None and task.state is TaskState.FETCHING:
                 picture.stop(task, 0.0, now, "starts beside its image")
+        for ref, index in plan.moves:
+            job = picture.jobs.get(ref)
+            task = job.active.get(index) if job else None
+            if task is not None and not task.stopping:
+                picture.stop(task, 0.0, now, "moves out of a gang's way")
         for ref, places in plan.starts:
             job = picture.jobs.get(ref)
             if job is None:
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -18,6 +18,7 @@
 from ..model.task import TaskState
 from ..net.outside import wall
 from ..policy import snapshot as policy
+from ..policy import worth
 from ..policy.reserve import reserve_size
 from ..policy.split import sub_deadline
 from ..wire.users import Kind, Submission
@@ -166,7 +167,7 @@
         run_s = self.picture.estimate_s(job) * c.ESTIMATE_PAD
         run_s = self.script.ask("estimate_s", run_s, spec.job_class, spec.estimate_s, run_s)
         due = sub_deadline(job.submitted, spec.due_s, run_s)
-        may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s())
+        may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s(spec))
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
                            frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self.kept,
@@ -189,8 +190,9 @@
                 found.append(policy.Stuck(policy.Need(job.ref, job.spec, [task.index], now, 0.0, zones), task.index))
         return found
 
-    def _boot_s(self) -> float:
-        return max((t.boot_s for t in self.types.values()), default=c.BOOT_DEFAULT_S)
+    def _boot_s(self, spec: Submission) -> float:
+        """The longest boot of the types that a task fits."""
+        return max((t.boot_s for t in self.types.values() if worth.fits(spec, t)), default=c.BOOT_DEFAULT_S)
 
     def _room(self, machine: Machine, within: set[str], now: float) -> policy.Room | None:
         mtype = machine.type
@@ -248,22 +250,29 @@
                                              _frail(task, now)))
             elif task.replica:
                 ran = now - (task.running_since if task.running_since is not None else now)
-                movers.append(policy.Mover(task.job.ref, spec, zone_counts(task.job), ran))
+                movers.append(policy.Mover(task.job.ref, spec, zone_counts(task.job), ran, task.index))
         return victims, movers
 
     def _reserves(self, wall: float) -> list[policy.Reserve]:
         """Warm room for classes that must start sooner than a machine boots, from their recent arrivals."""
-        boot = self._boot_s()
-        urgent = {o.job_class for o in self.settings.settings.objectives
-                  if o.kind == "wait" and o.within_s is not None and o.within_s < boot}
+        aims: dict[str, float] = {}
+        for o in self.settings.settings.objectives:
+            if o.kind == "wait" and o.within_s is not None:
+                aims[o.job_class] = min(o.within_s, aims.get(o.job_class, math.inf))
         classes: dict[str, list[tuple[float, Submission]]] = {}
         for when, spec in self.recent:
-            if spec.job_class in urgent and wall - when < c.RESERVE_WINDOW_S:
+            if spec.job_class in aims and wall - when < c.RESERVE_WINDOW_S:
                 classes.setdefault(spec.job_class, []).append((when, spec))
         deviations = self.script.number("reserve_deviations")
         found: list[policy.Reserve] = []
         for name, arrivals in classes.items():
-            proposed = reserve_size([(when, spec.tasks) for when, spec in arrivals], wall, boot, deviations)
+            # What is rented for a class takes the boot and the fetch of the type that serves it, not of another.
+            mtype = worth.cheapest(arrivals[-1][1], self.types.values())
+            if mtype is None or aims[name] >= worth.ready_s(arrivals[-1][1], mtype):
+                continue
+            proposed = reserve_size([(when, spec.tasks) for when, spec in arrivals], wall, mtype.boot_s, deviations)
+            if not proposed:
+                continue
             count = int(self.script.ask("reserve", proposed, name, proposed))
             found.append(policy.Reserve(arrivals[-1][1], count))
         return found
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -136,6 +136,7 @@
     task.move(TaskEvent.SEEN_EXITED, now)
     why = piece.why or w.Why.ERROR
     if why == w.Why.DONE:
+        log.debug("%s attempt %d on %s: done", task.name, task.attempt, machine.name)
         blame.completed(job, machine)
         if job.kind is Kind.GANG:
             # They complete together: if one task is done, so are all.
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -48,13 +48,14 @@
         self.state = StateClient(*parse_addr(settings.services.state, "services.state"), params.state, params.nodes)
         self.cloud = CloudClient(*parse_addr(settings.services.cloud, "services.cloud"), params.cloud, params.nodes)
         self.types: dict[str, MachineType] = {}
+        self.missing: dict[str, MachineType] = {}  # offered before, and not now
         self.controller: Controller | None = None
         self.election = Election(self.state, settings.node, self._on_change)
         self.cloud.entitled = lambda: self.controller is not None and self.controller.may_use_cloud()
         self.cloud.may_end = lambda: self.controller is not None and self.controller.ends_only()
         self.link = Link(settings.node, settings.seeds, self._mine, self._on_relay, self._on_job, self._on_peer,
                          self._on_gone)
-        self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record)
+        self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record, lambda: self.missing)
         self.reports = Reports(self)
         self._began = steady()
         self._server: Server | None = None
@@ -149,14 +150,21 @@
         while True:
             try:
                 found = await self.cloud.types()
-                self.types.clear()
-                self.types.update(found)
+                self._take_types(found)
                 for machine in self.controller.picture.machines.values() if self.controller else ():
                     machine.type = found.get(machine.type_name, machine.type)
             except CloudError as err:
                 log.info("machine types: %s", err)
             await asyncio.sleep(c.TYPES_EVERY_S if self.types else c.CLOUD_PAUSE_S)
 
+    def _take_types(self, found: dict[str, MachineType]) -> None:
+        gone = {name: t for name, t in (self.missing | self.types).items() if name not in found}
+        for name in gone.keys() - self.missing.keys():
+            log.info("the cloud no longer offers %s: none is rented, those that run go on", name)
+        self.missing = gone
+        self.types.clear()
+        self.types.update(found)
+
     async def run(self) -> None:
         front = Front(application(self, [r for e in self._extensions for r in e.routes()]), self.reports.handle)
         self._server = here().serve(front, *parse_addr(self.settings.client_listen, "client_listen"),
--- /dev/null
+++ b/winglift/policy/guests.py
@@ -0,0 +1,67 @@
+"""Replicas that stand on machines which other work needs, and move off them.
+
+A replica without GPUs goes to a machine that has some only where there is no other room. There it would bar a gang
+that fits nowhere else for as long as it runs, since nothing may stop it. So it moves, once there is room
+elsewhere: a move is not a preemption, and its service goes on with the others meanwhile.
+"""
+
+from __future__ import annotations
+
+from ..model.teams import EPS
+from ..wire.users import Submission
+from . import worth
+from .board import Board
+from .search import Search
+from .snapshot import Mover, Need, Room
+
+
+def _cleared(room: Room, spec: Submission, movers: list[Mover]) -> bool:
+    """Would a task fit there without these replicas, and once what yields to it has stopped?"""
+    gives = [v for v in room.victims if v.rank < spec.priority.rank]
+    return (room.cpus + room.soon_cpus + sum(v.cpus for v in gives) + sum(m.spec.cpus for m in movers)
+            + EPS >= spec.cpus
+            and room.gpus + room.soon_gpus + sum(v.gpus for v in gives) + EPS >= spec.gpus
+            and room.memory_gb + room.soon_memory_gb + sum(v.memory_gb for v in gives)
+            + sum(m.spec.memory_gb for m in movers) + EPS >= spec.memory_gb)
+
+
+def make_way(board: Board, need: Need) -> bool:
+    """Move replicas off the machine that needs the fewest moves for one task of a need that found no room.
+
+    Nothing is moved that finds no place elsewhere now, or where not all of them would make room.
+    """
+    best: tuple[int, Room, list[tuple[Mover, Room]]] | None = None
+    for room in board.up:
+        if not room.replicas or not need.allows(room) or room.type.gpus <= 0 or not worth.fits(need.spec, room.type):
+            continue
+        room.look()
+        movers = sorted((m for m in room.movers if worth.plain(m.spec, board.snap.types)), key=lambda m: -m.spec.cpus)
+        count = next((n for n in range(1, len(movers) + 1) if _cleared(room, need.spec, movers[:n])), None)
+        if count is None or (best is not None and count >= best[0]):
+            continue
+        found = _elsewhere(board, room, movers[:count])
+        if found is not None:
+            best = count, room, found
+    if best is None:
+        return False
+    for mover, target in best[2]:
+        target.take(mover.spec)
+        board.plan.moves.append((mover.ref, mover.index))
+    board.plan.kept[need.ref] = [best[1].name]
+    return True
+
+
+def _elsewhere(board: Board, room: Room, movers: list[Mover]) -> list[tuple[Mover, Room]] | None:
+    """A place for each of them on a machine of their own kind, or None."""
+    found: list[tuple[Mover, Room]] = []
+    for mover in movers:
+        need = Need(mover.ref, mover.spec, [], board.snap.now, 0.0, {}, plain=True)
+        placed = {z: n - (z == room.zone) for z, n in mover.zones.items()}
+        target = Search(need, [r for r in board.up if r is not room and not need.guest(r)], board.snap.now).best(placed)
+        if target is None:
+            break
+        target.take(mover.spec)
+        found.append((mover, target))
+    for mover, target in found:
+        target.give(mover.spec)
+    return found if len(found) == len(movers) else None
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -10,8 +10,10 @@
 
 from .. import constants as c
 from ..wire.users import Kind, Submission
+from . import worth
 from .board import Board, Limits
 from .gangs import Gangs
+from .guests import make_way
 from .preemption import Offers
 from .reserve import Reserves
 from .search import Search
@@ -109,7 +111,7 @@
         if room is not None and self._too_cold(room):
             # Work due now starts sooner where its image is, even if something must stop for it.
             better = self._being_made("warm")
-            if better is not None:
+            if better is not None and need.guest(better) <= need.guest(room):
                 self._promise(better, "room is being made")
                 return True
         if room is not None:
@@ -132,7 +134,8 @@
         if room is None and board.snap.may_rent:
             room = board.renting.rent(need, self.placed)
         if room is None:
-            board.plan.waiting[need.ref] = "nothing to rent"
+            way = need.spec.kind is Kind.GANG and make_way(board, need)
+            board.plan.waiting[need.ref] = "replicas move out of its way" if way else "nothing to rent"
             return False
         self._promise(room, "machines are booting")
         return True
@@ -191,6 +194,8 @@
     elif (gangs.rooms(need, soon=True, coming=True) is not None
             or (board.snap.may_rent and need.may_rent and gangs.rent(need))):
         why = "machines are booting"
+    elif make_way(board, need):
+        why = "replicas move out of its way"
     else:
         plan.waiting[need.ref] = "nothing to rent"
         return
@@ -208,7 +213,9 @@
     others = [r for r in board.up if not r.empty]
     tried = 0
     # Few replicas are quickly moved; few images are little lost for later starts.
-    for room in sorted(candidates, key=lambda r: (r.replicas, len(r.images), r.name)):
+    # What stands on a machine that others need more goes first, then what pays most.
+    for room in sorted(candidates, key=lambda r: (r.type.gpus <= 0, r.replicas / max(r.type.price, c.PRICE_LEAST),
+                                                  len(r.images), r.name)):
         room.look()
         if any(m.ran_s < c.MOVE_AFTER_S for m in room.movers):
             continue
@@ -218,9 +225,9 @@
         taken: list[tuple[Room, Submission]] = []
         for mover in room.movers:
             placed = {z: n - (z == room.zone) for z, n in mover.zones.items()}
-            need = Need(mover.ref, mover.spec, [], snap.now, 0.0, {})
+            need = Need(mover.ref, mover.spec, [], snap.now, 0.0, {}, plain=worth.plain(mover.spec, snap.types))
             held = [r for r in others if r.spot == room.spot and r.fits(mover.spec)
-                    and mover.spec.image in r.images and r is not room]
+                    and mover.spec.image in r.images and r is not room and not need.guest(r)]
             target = Search(need, held, snap.now).best(placed)
             if target is None:
                 break
@@ -253,6 +260,8 @@
 def make_plan(snap: Snapshot) -> Plan:
     board = Board(snap)
     limits, gangs = Limits(board), Gangs(board)
+    for need in snap.needs + [stuck.need for stuck in snap.stuck]:
+        need.plain = worth.plain(need.spec, snap.types)
     for need in sorted(snap.needs, key=order):
         if need.spec.kind is Kind.GANG and need.spec.tasks > 1:
             gang(board, limits, gangs, need)
--- a/winglift/policy/renting.py
+++ b/winglift/policy/renting.py
@@ -2,14 +2,29 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from .. import constants as c
-from ..model.teams import EPS
-from ..wire.users import Kind
+from ..wire.cloud import MachineType
+from ..wire.users import Kind, Submission
+from . import worth
 from .snapshot import Need, Plan, Rental, Room, Snapshot, zone_ok
 
 Mark = tuple[int, int, dict[str, int], dict[tuple[str, str], int]]
 
 
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """One type, zone and kind that a task could be rented a machine of."""
+
+    late: bool  # it would miss its sub-deadline there
+    ready_s: float  # boot, fetch and run time
+    key: tuple  # of those that are equally late, the smallest is taken
+    type: MachineType
+    zone: str
+    spot: bool
+
+
 class Renting:
     def __init__(self, snap: Snapshot, plan: Plan, coming: list[Room]) -> None:
         self.snap = snap
@@ -22,52 +37,65 @@
             self.per_zone[room.zone] = self.per_zone.get(room.zone, 0) + 1
 
     def slack_gone(self, need: Need) -> bool:
-        """Remaining time minus boot, fetch and run time minus a cycle (the slack wait)."""
-        if need.spec.due_s is None:
+        """Remaining time minus boot, fetch and run time minus a cycle (the slack wait).
+
+        Boot and fetch are those of the cheapest type for this task, of those that are to be had now if there are any.
+        """
+        spec = need.spec
+        if spec.due_s is None:
             return True
-        cheapest = min((t for t in self.snap.types.values() if need.spec.types is None or t.name in need.spec.types),
-                       key=lambda t: t.price, default=None)
-        boot = cheapest.boot_s + need.spec.image_gb / max(cheapest.fetch_gb_per_s, 1e-3) if cheapest else 0.0
-        return need.sub_deadline - self.snap.now - need.run_s * self.snap.slack_pad - boot - c.CYCLE_S <= 0
+        types = self.snap.types.values()
+        mtype = worth.cheapest(spec, [t for t in types if self._to_be_had(t, spec)]) or worth.cheapest(spec, types)
+        ready = worth.ready_s(spec, mtype) if mtype is not None else 0.0
+        return need.sub_deadline - self.snap.now - need.run_s * self.snap.slack_pad - ready - c.CYCLE_S <= 0
 
-    def rent(self, need: Need, placed: dict[str, int]) -> Room | None:
+    def _to_be_had(self, mtype: MachineType, spec: Submission) -> bool:
+        kinds = (False, True) if spec.spot and mtype.spot_price is not None else (False,)
+        return any((mtype.name, zone, spot) not in self.snap.refused for zone in mtype.zones for spot in kinds
+                   if spec.zone in (None, zone))
+
+    def _choices(self, need: Need, placed: dict[str, int]) -> list[Choice]:
+        """What could be rented for one task."""
         spec, now = need.spec, self.snap.now
-        best: tuple | None = None
+        found: list[Choice] = []
         # Cheap machines may be refused for now. Dear ones are rented instead only once the deadline asks for it:
         # with a boot ahead, the start is late for a guarantee in any case.
         kinds = (False,) if not spec.spot else (True, False) if self.slack_gone(need) else (True,)
-        for mtype in self.snap.types.values():
-            if spec.types is not None and mtype.name not in spec.types:
+        types = self.snap.types.values()
+        for mtype in types:
+            if not worth.fits(spec, mtype):
                 continue
-            if spec.cpus > mtype.cpus + EPS or spec.gpus > mtype.gpus + EPS or spec.memory_gb > mtype.memory_gb + EPS:
-                continue
-            ready = mtype.boot_s + spec.image_gb / max(mtype.fetch_gb_per_s, 1e-3) + need.run_s
-            late = now + ready > need.sub_deadline
-            for zone in mtype.zones:
-                if (spec.zone is not None and zone != spec.zone) or not zone_ok(spec, zone, placed):
-                    continue
-                if zone in self.snap.cut and not self.all_cut:
-                    # With its machines out of reach a zone looks empty, and all was rented there first.
+            ready = worth.ready_s(spec, mtype) + need.run_s
+            for spot in kinds if mtype.spot_price is not None else (False,):
+                if (spec.due_s is not None or need.spare) and worth.dear(spec, mtype, types, spot):
+                    # What is paid for anyway serves all; but none is rented that costs more than being late does.
                     continue
-                dark = (mtype.name, zone) in self._few
-                if dark and self._few[mtype.name, zone] < 1:
-                    continue
-                for spot in kinds if mtype.spot_price is not None else (False,):
-                    if (mtype.name, zone, spot) in self.snap.refused:
+                for zone in mtype.zones:
+                    if (spec.zone is not None and zone != spec.zone) or not zone_ok(spec, zone, placed):
+                        continue
+                    if zone in self.snap.cut and not self.all_cut:
+                        # With its machines out of reach a zone looks empty, and all was rented there first.
+                        continue
+                    dark = (mtype.name, zone) in self._few
+                    if (dark and self._few[mtype.name, zone] < 1) or (mtype.name, zone, spot) in self.snap.refused:
                         continue
-                    price = (mtype.spot_price if spot else mtype.price) or mtype.price
-                    share = max(spec.gpus / mtype.gpus if mtype.gpus else 0, spec.cpus / mtype.cpus)
                     alone = spec.kind is Kind.SERVICE and self.snap.alone(zone)
-                    key = (late, ready if late else 0.0, dark, price * share, alone, placed.get(zone, 0),
-                           self.per_zone.get(zone, 0), zone)
-                    if best is None or key < best[0]:
-                        best = (key, mtype, zone, spot)
-        if best is None:
+                    key = (dark, worth.price(spec, mtype, spot), alone, placed.get(zone, 0),
+                           self.per_zone.get(zone, 0), zone, mtype.name)
+                    found.append(Choice(now + ready > need.sub_deadline, ready, key, mtype, zone, spot))
+        return found
+
+    def rent(self, need: Need, placed: dict[str, int]) -> Room | None:
+        choices = self._choices(need, placed)
+        if not choices:
             return None
-        _, mtype, zone, spot = best
-        room = Room(f"new-{len(self.plan.rentals)}", mtype, zone, spot, mtype.cpus, mtype.gpus, mtype.memory_gb,
+        # The cheapest that meets the sub-deadline; or else the fastest, or the cheapest of those about as fast.
+        soon = min(x.ready_s for x in choices) * c.LATE_ALIKE
+        best = min(choices, key=lambda x: (x.late, x.late and x.ready_s > soon, x.key))
+        mtype, zone = best.type, best.zone
+        room = Room(f"new-{len(self.plan.rentals)}", mtype, zone, best.spot, mtype.cpus, mtype.gpus, mtype.memory_gb,
                     ready_in=mtype.boot_s, alone=self.snap.alone(zone))
-        self.plan.rentals.append(Rental(mtype.name, zone, spot))
+        self.plan.rentals.append(Rental(mtype.name, zone, best.spot))
         self.per_zone[zone] = self.per_zone.get(zone, 0) + 1
         if (mtype.name, zone) in self._few:
             self._few[mtype.name, zone] -= 1
--- a/winglift/policy/reserve.py
+++ b/winglift/policy/reserve.py
@@ -9,6 +9,8 @@
 
 from .. import constants as c
 from ..model.teams import EPS
+from ..wire.users import Submission
+from . import worth
 from .board import Board
 from .snapshot import Need, Reserve, Room
 
@@ -19,6 +21,9 @@
     `arrivals` holds time and tasks of recent jobs. The fullest stretch of time does not count towards the rate:
     when the service or its users start, everything is submitted at once, and that once kept 11 machines warm.
     """
+    if now - max(when for when, _ in arrivals) > _quiet_s([when for when, _ in arrivals]):
+        # No more come: two GPU machines were once kept warm for minutes after the last gang.
+        return 0
     slots: dict[int, int] = {}
     for when, tasks in arrivals:
         slot = int((now - when) // c.RESERVE_SLOT_S)
@@ -31,27 +36,49 @@
     return max(largest, math.ceil(expected + deviations * math.sqrt(expected * mean)))
 
 
+def _quiet_s(times: Sequence[float]) -> float:
+    """How long a class may be quiet until no more is expected of it, by the usual gap between its arrivals.
+
+    What comes together counts as one arrival, and a single one tells nothing about gaps.
+    """
+    slots = len({int(when // c.RESERVE_SLOT_S) for when in times})
+    if slots < 2:
+        return math.inf
+    return max(c.RESERVE_QUIET_S, c.RESERVE_QUIET_GAPS * (max(times) - min(times)) / (slots - 1))
+
+
+def _times(amount: float, each: float) -> float:
+    return amount / each if each > 0 else math.inf
+
+
 class Reserves:
     def __init__(self, board: Board) -> None:
         self.board = board
 
+    def _need(self, spec: Submission) -> Need:
+        snap = self.board.snap
+        return Need("reserve", spec, [], snap.now, 0.0, {}, spare=True, plain=worth.plain(spec, snap.types))
+
     def _missing(self, reserve: Reserve, rooms: Iterable[Room], keep: bool) -> tuple[int, dict[str, int]]:
         """How much of a reserve is not warm: neither free nor taken by work that would give way."""
         spec, left = reserve.spec, reserve.count
         per_zone: dict[str, int] = {}
         most = (reserve.count + 1) // 2 if spec.spread else reserve.count
+        need = self._need(spec)
         for room in rooms:
             if left <= 0:
                 break
-            if not room.allowed(spec):
+            if not room.allowed(spec) or need.guest(room):
                 continue
             gpus, cpus = room.gpus + room.soon_gpus, room.cpus + room.soon_cpus
+            memory = room.memory_gb + room.soon_memory_gb
             if room.yields:
                 room.look()
                 gives = [v for v in room.victims if v.rank < spec.priority.rank]
                 gpus += sum(v.gpus for v in gives)
                 cpus += sum(v.cpus for v in gives)
-            fit = int(min(gpus / spec.gpus if spec.gpus else math.inf, cpus / spec.cpus if spec.cpus else math.inf,
+                memory += sum(v.memory_gb for v in gives)
+            fit = int(min(_times(gpus, spec.gpus), _times(cpus, spec.cpus), _times(memory, spec.memory_gb),
                           left, most - per_zone.get(room.zone, 0)) + EPS)
             if fit > 0:
                 if keep:
@@ -73,13 +100,12 @@
         left, per_zone = self._missing(reserve, rooms, keep=True)
         spec = reserve.spec
         while left > 0 and board.snap.may_rent:
-            need = Need("reserve", spec, [], board.snap.now, 0.0, {})
+            need = self._need(spec)
             if spec.spread:
                 need.spec = msgspec.structs.replace(spec, tasks=max(1, reserve.count))
             rented = board.renting.rent(need, per_zone)
             if rented is None:
                 return
-            fit = max(1, int(min(rented.gpus / spec.gpus if spec.gpus else math.inf,
-                                 rented.cpus / spec.cpus if spec.cpus else math.inf, left) + EPS))
+            fit = max(1, min(rented.slots(spec, soon=False), left))
             left -= fit
             per_zone[rented.zone] = per_zone.get(rented.zone, 0) + fit
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -12,7 +12,7 @@
 from ..wire.users import Kind, Submission
 from .snapshot import Need, Room, fetch_s, zone_ok
 
-HERE = 5  # place in a preference of what depends on the tasks placed already
+HERE = 6  # place in a preference of what depends on the tasks placed already
 
 
 def preference(need: Need, room: Room, now: float, placed: dict[str, int]) -> tuple:
@@ -25,8 +25,8 @@
     # Images fetched at the same time share the machine's rate: two fetches of 5 s once took 10 s each.
     # Replicas go where a node can keep them alive through a cut: in a zone without one a quarter of all once died.
     alone = room.alone and spec.kind is Kind.SERVICE
-    return (late, room.ready_in, 1 + room.fetches if fetch > 0 else 0, room.name not in need.near, alone,
-            placed.get(room.zone, 0) if spec.spread else 0, spec.spot and not room.spot, room.gpus - spec.gpus,
+    return (late, room.ready_in, need.guest(room), 1 + room.fetches if fetch > 0 else 0, room.name not in need.near,
+            alone, placed.get(room.zone, 0) if spec.spread else 0, spec.spot and not room.spot, room.gpus - spec.gpus,
             room.cpus, end)
 
 
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -52,6 +52,7 @@
     spec: Submission
     zones: dict[str, int]
     ran_s: float
+    index: int = 0  # of its task
 
 
 @dataclass(slots=True, eq=False)
@@ -161,13 +162,19 @@
     patient: bool = False  # it waits for so short a time that nothing is stopped for it yet: others end by themselves
     probe: bool = False  # it looks mistaken: it may use what is free, and nothing is stopped or rented for it
     keeps: bool = False  # room is kept for it
+    spare: bool = False  # nobody waits for it: room for what may come
     near: frozenset[str] = frozenset()  # machines where the steps before it ran: what they left may still be there
+    plain: bool = False  # it needs no GPU, and there are machines without: on one that has some it is a guest
     late: bool = False  # a gang that has waited for much of the time in which it should start: it displaces owed work
 
     @property
     def claim(self) -> tuple[bool, bool, int]:
         return claim(self.spec.priority, self.within)
 
+    def guest(self, room: Room) -> bool:
+        """Is the room on a machine that other work needs more? It is used last, but used."""
+        return self.plain and room.type.gpus > 0
+
     def allows(self, room: Room) -> bool:
         return (room.allowed(self.spec) and room.name not in self.avoid
                 and (room.kept_for in ("", self.ref) or room.kept_rank < self.spec.priority.rank))
@@ -227,6 +234,7 @@
     stops: list[tuple[str, int, str]] = field(default_factory=list)  # job, task, for whom
     kept: dict[str, list[str]] = field(default_factory=dict)  # gang: machines on which room is being made for it
     rescues: list[tuple[str, int]] = field(default_factory=list)  # job, task: to be started beside its image
+    moves: list[tuple[str, int]] = field(default_factory=list)  # job, task: replicas that stand in a gang's way
     rentals: list[Rental] = field(default_factory=list)
     waiting: dict[str, str] = field(default_factory=dict)  # job: why its tasks wait
     spare: set[str] = field(default_factory=set)  # empty machines that nothing needs
--- a/winglift/wire/cloud.py
+++ b/winglift/wire/cloud.py
@@ -22,7 +22,28 @@
 
 
 class Types(msgspec.Struct, frozen=True, rename={"types": "rigTypes"}):
-    types: list[MachineType]
+    types: list[msgspec.Raw]  # each by itself: one that can't be read must not hide the others
+
+
+_type = msgspec.json.Decoder(MachineType)
+
+
+def machine_type(raw: msgspec.Raw) -> MachineType:
+    """One type of the cloud's answer. ValueError, naming it, where nothing could run on such a machine."""
+    try:
+        found = _type.decode(raw)
+    except msgspec.DecodeError as err:
+        raise ValueError(f"{bytes(raw)[:60]!r}: {err}") from None
+    for field, value in (("cpus", found.cpus), ("memGb", found.memory_gb)):
+        if value <= 0:
+            raise ValueError(f"{found.name}: {field} is {value:g}")
+    for field, value in (("gpus", found.gpus), ("hourly", found.price), ("spotPrice", found.spot_price or 0.0),
+                         ("cacheGb", found.cache_gb), ("pullGbPerS", found.fetch_gb_per_s), ("bootS", found.boot_s)):
+        if value < 0:
+            raise ValueError(f"{found.name}: {field} is {value:g}")
+    if not found.zones:
+        raise ValueError(f"{found.name}: halls is empty")
+    return found
 
 
 class Rent(msgspec.Struct, frozen=True, rename={
