A node that can't reach the leader sends its workers there, instead of keeping them unheard

A third node with the state service, but without a link to the leader, had answered their reports all the while. Change: the same state machine as for a node that is alone; the target is the node that the state service names. Who comes back is served on, so that a zone cut off from the leader's keeps its tasks. Result: test_workers_of_a_node_that_cannot_reach_the_leader_go_there, which fails without it.

--- a/tests/test_end_of_day.py
+++ b/tests/test_end_of_day.py
@@ -169,6 +169,27 @@
     assert scene.all_end([f"wk-{n}" for n in range(4)], 150.0) and not scene.broken
 
 
+def test_workers_of_a_node_that_cannot_reach_the_leader_go_there(caplog):
+    """Connections between nodes are refused, and all else works: what its node heard never got to the leader, which
+    deleted 33 sound machines after three leases of silence."""
+    scene = begun(run_s=60.0)
+    long_work(scene)
+    scene.loop.run(20.0)
+    cuts = [Cut(f"node-{i}", f"node-{j}", False) for i in range(3) for j in range(3) if i != j]
+    scene.net.cuts += cuts
+    caplog.set_level(logging.INFO)
+    scene.loop.run(scene.loop.now + 45.0)
+    host, node = scene.nodes[scene.leader() or ""]
+    assert node.controller is not None
+    machines = node.controller.picture.machines.values()
+    assert all(m.last_heard is not None and host.steady() - m.last_heard < 4.0 for m in machines)
+    assert caplog.text.count(": silent for") <= 1
+    assert all(node.not_up() is None for _, node in scene.nodes.values())
+    for cut in cuts:
+        scene.net.mend(cut)
+    assert scene.all_end([f"wk-{n}" for n in range(4)], 150.0) and not scene.broken
+
+
 @pytest.mark.parametrize("hold", [False, True])
 def test_a_zone_that_is_cut_off_with_its_node_loses_nothing(hold, monkeypatch):
     """What looks the same to that node: here its answers are all that keeps its workers' tasks alive."""
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -33,7 +33,8 @@
 def follower(zone, leader_zone="a", **locals_by_zone):
     link = FakeLink(leader_zone, locals_by_zone)
     own = SimpleNamespace(zone=zone, seeds=settings().seeds, settings=settings().settings)
-    node = SimpleNamespace(link=link, controller=None, known_term=lambda: 3, hears_others=lambda: True, settings=own)
+    node = SimpleNamespace(link=link, controller=None, known_term=lambda: 3, hears_others=lambda: True,
+                           leader_elsewhere=lambda: None, settings=own)
     return Reports(node), link  # type: ignore[arg-type]
 
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -15,6 +15,7 @@
 from standins.scene import Scene
 from standins.world import Cut, Message
 from winglift.model import reported
+from winglift.node import Node
 from winglift.workers.stranded import Event, State, Stranded
 
 # -- back at once, at every step ---------------------------------------------------------------
@@ -168,7 +169,7 @@
     return None
 
 
-@pytest.mark.parametrize("guard", ["deaf", "half a zone", "old copies", "deleted before", "sends on",
+@pytest.mark.parametrize("guard", ["deaf", "half a zone", "old copies", "deleted before", "sends on", "to the leader",
                                    "keeps a cut zone", "served first"])
 def test_without_each_guard_a_play_fails(guard, monkeypatch, caplog):
     def fails(play, *args) -> None:
@@ -200,6 +201,9 @@
     elif guard == "sends on":
         monkeypatch.setattr(Stranded, "sends_on", lambda *args: False)
         fails(day.test_workers_of_a_node_that_is_alone_are_led_by_the_others, "leader", False, caplog)
+    elif guard == "to the leader":
+        monkeypatch.setattr(Node, "leader_elsewhere", never)
+        fails(day.test_workers_of_a_node_that_cannot_reach_the_leader_go_there, caplog)
     elif guard == "keeps a cut zone":
         whole = Stranded.move
         monkeypatch.setattr(Stranded, "move", lambda self, event, now: whole(
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -129,6 +129,13 @@
     def hears_others(self) -> bool:
         return self.state.health() is not Health.DOWN or self.link.hears_anyone(steady())
 
+    def leader_elsewhere(self) -> str | None:
+        """The node that leads by the state service's word, if this one can't hand it any report; None otherwise."""
+        if self.controller is not None or self.link.leader(steady()) is not None:
+            return None
+        name = self.election.known_leader
+        return name if name in self.link.peers and self.state.health() is Health.GOOD else None
+
     def crowded(self) -> bool:
         """Are so many connections open that reports, peers and the services might soon find no socket?"""
         limit = self.settings.settings.machine_limits.sockets * c.SOCKET_SHARE
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -59,6 +59,9 @@
     def hears_others(self) -> bool:
         """Is the state service or any other node in hearing?"""
 
+    def leader_elsewhere(self) -> str | None:
+        """The node that leads and that this one can't hand reports to, if there is one."""
+
     def known_term(self) -> int:
         """The highest term that this node has heard of."""
 
@@ -95,10 +98,11 @@
         now = steady()
         controller = self.node.controller
         self.heard_at = now
-        self.stranded.look(self.node.hears_others(), now)
+        led = self.node.leader_elsewhere()
+        self.stranded.look(led is None and self.node.hears_others(), now)
         knows_more = report.token > self.node.known_term()
         if self.stranded.sends_on(report.machine, (report.session, report.seq), not report.tasks, knows_more, now):
-            return 421, msgspec.json.encode(w.Redirect(self._another(report.machine)))
+            return 421, msgspec.json.encode(w.Redirect(led or self._another(report.machine)))
         home = self._home(report.zone, now)
         if home is not None and not (controller is not None and controller.starts_wait(report.machine)):
             target = self._redirect(report.machine, home, now)
--- a/winglift/workers/stranded.py
+++ b/winglift/workers/stranded.py
@@ -1,4 +1,5 @@
-"""A node that hears neither the state service nor any other node, and still hears workers.
+"""A node that still hears workers, and can hand what it hears to no leader: it hears neither the state service nor any
+other node, or the state service names a leader that it does not reach.
 
 It may be cut off together with its zone; then its answers keep the zone's workers alive, and nobody else could. Or the
 workers could reach the others, and its answers keep them from it: the next leader hears nothing of them for as long as
@@ -20,8 +21,8 @@
 
 
 class State(Enum):
-    TOGETHER = auto()  # the state service or another node is heard
-    ALONE = auto()  # neither is: everybody is served
+    TOGETHER = auto()  # a leader has what is heard here, or nobody leads
+    ALONE = auto()  # none has: everybody is served
     ASKING = auto()  # a few workers were sent on
     CUT = auto()  # one of them is back: the zone is cut off too, and everybody is served
     SENDING = auto()  # all stayed away: it is this node alone, and everybody is sent on
@@ -66,7 +67,7 @@
         new = TRANSITIONS.get((self.state, event), self.state)
         if new is not self.state:
             if new is not State.ALONE:
-                log.info("in reach of workers alone: %s", new.name.lower())
+                log.info("no leader has what is heard here: %s", new.name.lower())
             self.state, self.since = new, now
             if new in (State.TOGETHER, State.ALONE):
                 self._away.clear()
@@ -74,7 +75,7 @@
         return self.state
 
     def look(self, hears: bool, now: float) -> None:
-        """Before each report: is the state service or any other node heard?"""
+        """Before each report: does any leader, or could any, get to know what is heard here?"""
         if hears or not self._nodes:
             self.move(Event.HEARD, now)
             return
