--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -92,7 +92,8 @@
     def _still_wanted(self) -> bool:
         """Leave out what was refused since it was asked for: what waits on it finds the next choice at once.
 
-        Such requests once went out all the same, ten in a row, while their tasks counted on machines that never came.
+        Such requests once went out all the same, while their tasks counted on machines that never came: in the first
+        95 s of a day 95 calls were refused.
         """
         for key in [k for k in self._unsent if self.refused.get(k, 0.0) > steady()]:
             effect = self._unsent.pop(key)
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -106,9 +106,10 @@
     A worker's lease runs from its last answered report. If it ended although reports had come all the while, they were
     answered in vain; and what is sent in answers shows in the next report, or the answer was lost.
     """
-    listed = {piece.key(): piece.attempt for piece in report.tasks}
+    # Few reports follow a start: the others cost no look at what they list.
     sent = [t for t in machine.tasks.values() if t.state is TaskState.SENT and t.sent_session == report.session
             and t.sent_seq < report.seq]
+    listed = {piece.key(): piece.attempt for piece in report.tasks} if sent else {}
     in_vain = (new_session and machine.session > 0 and machine.last_heard is not None
                and now - machine.last_heard < picture.settings.settings.workers.lease_s * c.DEAF_LEASE_SHARE)
     if any(listed.get((t.job.ref, t.index)) == t.attempt for t in sent):
--- a/winglift/policy/guests.py
+++ b/winglift/policy/guests.py
@@ -30,6 +30,8 @@
 
     Nothing is moved that finds no place elsewhere now, or where not all of them would make room.
     """
+    if all(t.gpus > 0 for t in board.snap.types.values()):
+        return False  # nobody is a guest anywhere: 645 machines need not be looked at for each gang that waits
     best: tuple[int, Room, list[tuple[Mover, Room]]] | None = None
     for room in board.up:
         if not room.replicas or not need.allows(room) or room.type.gpus <= 0 or not worth.fits(need.spec, room.type):
