Fences: a message delivered twice, and one after a third holder, at each step

Change: two more faults in the enumeration; in both the holder ends at the step, and its successor 9 s later.

--- a/tests/test_fences.py
+++ b/tests/test_fences.py
@@ -19,7 +19,8 @@
 from winglift.duties.effect import Event, State
 
 REFS = [f"wk-{n}" for n in range(6)]
-FAULTS = ["stands still", "crashes", "held", "no answer", "outage", "crashes in an outage"]
+FAULTS = ["stands still", "crashes", "held", "no answer", "outage", "crashes in an outage", "twice",
+          "after a third holder"]
 PARTS = 4  # of the steps, so that they can be played side by side
 STEPS = ("POST /commit", "POST /hosts", "POST /hosts/delete")
 
@@ -58,7 +59,7 @@
             arrive()
         self.scene.net.kept.clear()
 
-    def _watch(self, message: Message) -> str | None:
+    def _watch(self, message: Message) -> str | float | None:
         scene = self.scene
         step, answers = message.what.removeprefix("answer "), message.what.startswith("answer ")
         if message.what in ("POST /hosts", "POST /hosts/delete") and message.source.startswith("node-"):
@@ -102,17 +103,26 @@
         if self.fault == "outage":
             return None
         if self.fault.startswith("crashes"):
-            scene.later(0.0, scene.crash, node)
-            scene.later(3.0, scene.start, int(node[-1]))
+            scene.later(0.0, self._back, node)
             return None
+        if self.fault in ("twice", "after a third holder"):
+            scene.later(0.0, self._back, node)
+            # Its successor ends too, so that a third one holds the duties when the message comes (again).
+            scene.later(9.0, lambda: self._back(scene.leader()))
+            return 25.0 if self.fault == "twice" else "hold"
         if self.fault == "held":
             if message.source == node:
                 # It waits on the way for minutes, and the node with it is gone from the others' sight.
-                scene.later(0.0, scene.crash, node)
-                scene.later(3.0, scene.start, int(node[-1]))
+                scene.later(0.0, self._back, node)
             return "hold"
         return "drop"
 
+    def _back(self, node: str | None) -> None:
+        """A node's process ends and is back after 3 s."""
+        if node in self.scene.nodes:
+            self.scene.crash(node)
+            self.scene.later(3.0, self.scene.start, int(node[-1]))
+
     def wrong(self) -> list[str]:
         found = list(self.scene.broken) + self.by_replaced
         found += [f"not ended: {set(REFS) - set(self.scene.ended)}"] if not self.ended else []
