--- a/standins/world.py
+++ b/standins/world.py
@@ -8,10 +8,8 @@
 
 import asyncio
 import contextvars
-import heapq
 import math
 import random
-from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -22,93 +20,9 @@
 from winglift.net import outside
 from winglift.net.client import NotSent, Reply, Unanswered
 
-EPOCH = 1.7e9  # time of day at the beginning of a world
-
-
-class Loop(asyncio.AbstractEventLoop):
-    """Callbacks in order of time, then of asking. What belongs to a host that stands still waits there."""
-
-    def __init__(self) -> None:
-        self.now = 0.0
-        self.faults: list[dict[str, Any]] = []  # exceptions that nobody took
-        self.steps = 0
-        self._ready: deque[asyncio.Handle] = deque()
-        self._timers: list[tuple[float, int, asyncio.TimerHandle]] = []
-        self._asked = 0
-
-    def time(self) -> float:
-        return self.now
-
-    def call_soon(self, callback, *args, context=None):  # type: ignore[no-untyped-def]
-        handle = asyncio.Handle(callback, args, self, context)
-        self._ready.append(handle)
-        return handle
-
-    def call_later(self, delay, callback, *args, context=None):  # type: ignore[no-untyped-def]
-        return self.call_at(self.now + delay, callback, *args, context=context)
+from .loop import Loop, Stops
 
-    def call_at(self, when, callback, *args, context=None):  # type: ignore[no-untyped-def]
-        handle = asyncio.TimerHandle(when, callback, args, self, context)
-        self._asked += 1
-        heapq.heappush(self._timers, (when, self._asked, handle))
-        return handle
-
-    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
-        pass
-
-    def create_future(self) -> asyncio.Future:
-        return asyncio.Future(loop=self)
-
-    def create_task(self, coro, **kwargs):  # type: ignore[no-untyped-def]
-        return asyncio.Task(coro, loop=self, **kwargs)
-
-    def get_debug(self) -> bool:
-        return False
-
-    def is_running(self) -> bool:
-        return True
-
-    def is_closed(self) -> bool:
-        return False
-
-    def call_exception_handler(self, context: dict[str, Any]) -> None:
-        self.faults.append(context)
-
-    def _run(self, handle: asyncio.Handle) -> None:
-        if handle.cancelled():
-            return
-        host = handle._context.get(outside._here)  # type: ignore[attr-defined]
-        if isinstance(host, Host) and host.held is not None:
-            if not host.crashed:
-                host.held.append(handle)
-            return
-        if isinstance(host, Host) and host.steps_left:
-            host.steps_left -= 1
-            if not host.steps_left:
-                host.stand_still()
-        self.steps += 1
-        handle._run()
-
-    def run(self, until: Callable[[], bool] | float, most_s: float = 600.0) -> bool:
-        """Run until something holds, or up to a time; False if that did not come within `most_s` simulated seconds."""
-        limit = until if isinstance(until, float) else self.now + most_s
-        asyncio._set_running_loop(self)
-        try:
-            while True:
-                for _ in range(len(self._ready)):
-                    self._run(self._ready.popleft())
-                if callable(until) and until():
-                    return True
-                if self._ready:
-                    continue
-                if not self._timers or self._timers[0][0] > limit:
-                    self.now = limit
-                    return not callable(until)
-                when, _, handle = heapq.heappop(self._timers)
-                self.now = max(self.now, when)
-                self._ready.append(handle)
-        finally:
-            asyncio._set_running_loop(None)
+EPOCH = 1.7e9  # time of day at the beginning of a world
 
 
 @dataclass(eq=False)
@@ -135,15 +49,15 @@
     held: list[Callable[[], None]] = field(default_factory=list)
 
 
-class Host:
+class Host(Stops):
     """A machine's outside: its clocks, and its place in the network. Restarted under the same name it is a new one."""
 
     def __init__(self, net: Network, name: str, zone: str, drift: float = 0.0, skew_s: float = 0.0) -> None:
         self.net, self.name, self.zone = net, name, zone
         self.drift, self.skew_s = drift, skew_s
-        self.held: list[asyncio.Handle] | None = None  # while it stands still
+        self.held = None
         self.crashed = False
-        self.steps_left = 0  # callbacks of it after which it stands still, at any place between two of its steps
+        self.steps_left = 0
         self._drawn = 0
         self.context = contextvars.copy_context()
         self.context.run(outside.enter, self)
@@ -175,10 +89,6 @@
         """Start a coroutine there."""
         self.context.run(self.net.loop.create_task, coroutine)
 
-    def stand_still(self) -> None:
-        if self.held is None:
-            self.held = []
-
     def go_on(self) -> None:
         if self.held is not None and not self.crashed:
             self.net.loop._ready.extend(self.held)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from standins.world import Loop
+from standins.loop import Loop
 from winglift.config import settings as conf
 from winglift.duties.book import Book
 from winglift.duties.duty import Fence
--- /dev/null
+++ b/tests/test_budget.py
@@ -0,0 +1,33 @@
+"""Rate budgets: never overdrawn, and first come, first served."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from winglift.net.budget import Budget
+
+
+@given(st.lists(st.tuples(st.floats(0, 1), st.floats(0.5, 3)), max_size=40))
+def test_a_budget_is_never_overdrawn(steps):
+    budget, now, spent = Budget(5.0, 5.0), 0.0, 0.0
+    for pause, amount in steps:
+        now += pause
+        if budget.take(now, amount):
+            spent += amount
+        assert spent <= 5.0 + 5.0 * now + 1e-6
+
+
+@given(st.lists(st.tuples(st.floats(0, 0.5), st.sampled_from([1.0, 1.0, 4.0])), max_size=60))
+def test_who_waits_for_a_budget_has_a_place_in_the_queue(steps):
+    """A rush once shared one short wait, which none of the many got: they waited past their users' patience."""
+    budget, now, sent = Budget(5.0, 5.0), 0.0, []
+    for pause, amount in steps:
+        now += pause
+        wait = budget.reserve(now, amount, 0.35)
+        if wait is not None:
+            assert wait <= 0.35
+            sent.append((now + wait, amount))
+    assert [when for when, _ in sent] == sorted(when for when, _ in sent)
+    for when, _ in sent:
+        assert sum(amount for t, amount in sent if t <= when) <= 5.0 + 5.0 * when + 1e-6
--- a/tests/test_end_of_day.py
+++ b/tests/test_end_of_day.py
@@ -1,5 +1,5 @@
-"""What the users check at the end of a day: nothing forgotten, the largest begin, machines that do not hear us, late
-copies, nodes that have only their workers left, processes that are back at once. Several nodes in simulated time."""
+"""What the users check at the end of a day: nothing forgotten, machines that do not hear us, late copies,
+nodes that have only their workers left, processes that are back at once. Several nodes in simulated time."""
 
 from __future__ import annotations
 
@@ -227,63 +227,6 @@
     assert not scene.broken
 
 
-# -- the largest begin -------------------------------------------------------------------------
-
-
-def served(history: list[tuple[str, str, float, float, float]], most_s: float = 240.0) -> list[str]:
-    """Which classes, teams and largest jobs are served by less than half: `history` holds class, team, size, when a job
-    was accepted and when it began (infinity: never). A class's largest are the largest tenth, one at least."""
-    groups: dict[str, list[bool]] = {}
-    for name in {job[0] for job in history}:
-        jobs = sorted((j for j in history if j[0] == name), key=lambda j: -j[2])
-        groups[f"largest of {name}"] = [began - at <= most_s for _, _, _, at, began in jobs[:max(1, len(jobs) // 10)]]
-    for name, team, _, _, began in history:
-        groups.setdefault(f"class {name}", []).append(began < float("inf"))
-        groups.setdefault(f"team {team}", []).append(began < float("inf"))
-    return sorted(name for name, good in groups.items() if 2 * sum(good) < len(good))
-
-
-def test_the_count_of_who_was_served_fails_a_day_that_serves_only_the_small():
-    small = [("batch", "a", 1.0, float(n), n + 5.0) for n in range(40)]
-    assert served(small + [("batch", "a", 9.0, 0.0, 100.0)] * 4) == []
-    assert served(small + [("batch", "a", 9.0, 0.0, 250.0)] * 4) == ["largest of batch"]
-    assert served([*small, ("gang", "b", 9.0, 0.0, float("inf"))]) == ["class gang", "largest of gang", "team b"]
-
-
-def crowded(scene: Scene, until: float, gang: dict) -> float:
-    """Small jobs that could fill the platform by themselves, and one that needs several whole machines: when it began,
-    seconds after its acceptance; infinity if it did not."""
-    began: list[float] = []
-
-    def look(worker, what, piece):
-        if piece.startswith("wk-700/"):
-            began.append(scene.loop.now)
-    for n in range(int(until / 1.5)):
-        scene.later(1.5 * n, scene.submit, f"wk-{n + 1000}")
-    scene.later(40.0, lambda: scene.submit("wk-700", **gang))
-    started = scene._started
-    scene._started = lambda *args: (look(*args), started(*args))[1]  # type: ignore[method-assign]
-    scene.loop.run(until)
-    return began[0] - scene.loop.now + until - 40.0 if began else float("inf")
-
-
-GANG = {"shape": "ensemble", "pieces": 3, "gpus": 4.0, "cpus": 30.0, "samePlace": False, "expectedS": 20.0}
-
-
-@pytest.mark.parametrize("changes", [0, 2])
-def test_a_gang_of_whole_machines_begins_within_four_minutes_on_a_platform_full_of_small_jobs(changes):
-    scene = begun(run_s=20.0, capacity=7)
-    for n in range(changes):  # waiting is counted from the record, and outlives the leader
-        scene.later(60.0 + 50.0 * n, lambda: scene.leader() and scene.crash(scene.leader() or ""))
-        scene.later(61.0 + 50.0 * n, lambda: [scene.start(i) for i in range(3) if f"node-{i}" not in scene.nodes])
-    assert crowded(scene, 300.0, GANG) <= 240.0 and not scene.broken
-
-
-def test_without_room_kept_together_it_does_not(monkeypatch):
-    monkeypatch.setattr("winglift.policy.plan.hold", lambda board: None)
-    assert crowded(begun(run_s=20.0, capacity=7), 300.0, GANG) > 240.0
-
-
 # -- late copies -------------------------------------------------------------------------------
 
 
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -140,6 +140,12 @@
     snap = snapshot([], [need(BATCH, due=1010.0)])
     snap.refused = {(t, z, s) for t in ("s", "w") for z in "ab" for s in (True, False)}
     assert make_plan(snap).rentals == []
+    # But nobody is starved for the price: what has not begun for long takes what there is.
+    one = need(BATCH, due=1010.0)
+    one.waited_s = 100.0
+    snap = snapshot([], [one])
+    snap.refused = {(t, z, s) for t in ("s", "w") for z in "ab" for s in (True, False)}
+    assert [r.type for r in make_plan(snap).rentals] == ["g"]
     # Replicas and gangs are due now: they take what there is.
     snap = snapshot([], [need(REPLICA, due=1000.0, run_s=0.0)])
     snap.refused = {(t, z, False) for t in ("s", "w") for z in "ab"}
--- /dev/null
+++ b/tests/test_largest.py
@@ -0,0 +1,88 @@
+"""The largest jobs begin within four minutes, however many small ones arrive, and no class or team is left out."""
+
+from __future__ import annotations
+
+import copy
+
+import msgspec
+import pytest
+from helpers import spec
+from test_end_of_day import begun
+from test_policy import full, room, snapshot
+
+from standins.scene import Scene
+from winglift.policy import snapshot as p
+from winglift.policy.plan import make_plan
+from winglift.wire.users import Kind
+
+
+def served(history: list[tuple[str, str, float, float, float]], most_s: float = 240.0) -> list[str]:
+    """Which classes, teams and largest jobs are served by less than half: `history` holds class, team, size, when a job
+    was accepted and when it began (infinity: never). A class's largest are the largest tenth, one at least."""
+    groups: dict[str, list[bool]] = {}
+    for name in {job[0] for job in history}:
+        jobs = sorted((j for j in history if j[0] == name), key=lambda j: -j[2])
+        groups[f"largest of {name}"] = [began - at <= most_s for _, _, _, at, began in jobs[:max(1, len(jobs) // 10)]]
+    for name, team, _, _, began in history:
+        groups.setdefault(f"class {name}", []).append(began < float("inf"))
+        groups.setdefault(f"team {team}", []).append(began < float("inf"))
+    return sorted(name for name, good in groups.items() if 2 * sum(good) < len(good))
+
+
+def test_the_count_of_who_was_served_fails_a_day_that_serves_only_the_small():
+    small = [("batch", "a", 1.0, float(n), n + 5.0) for n in range(40)]
+    assert served(small + [("batch", "a", 9.0, 0.0, 100.0)] * 4) == []
+    assert served(small + [("batch", "a", 9.0, 0.0, 250.0)] * 4) == ["largest of batch"]
+    assert served([*small, ("gang", "b", 9.0, 0.0, float("inf"))]) == ["class gang", "largest of gang", "team b"]
+
+
+def crowded(scene: Scene, until: float, gang: dict) -> float:
+    """Small jobs that could fill the platform by themselves, and one that needs several whole machines: when it began,
+    seconds after its acceptance; infinity if it did not."""
+    began: list[float] = []
+
+    def look(worker, what, piece):
+        if piece.startswith("wk-700/"):
+            began.append(scene.loop.now)
+    for n in range(int(until / 1.5)):
+        scene.later(1.5 * n, scene.submit, f"wk-{n + 1000}")
+    scene.later(40.0, lambda: scene.submit("wk-700", **gang))
+    started = scene._started
+    scene._started = lambda *args: (look(*args), started(*args))[1]  # type: ignore[method-assign]
+    scene.loop.run(until)
+    return began[0] - scene.loop.now + until - 40.0 if began else float("inf")
+
+
+GANG = {"shape": "ensemble", "pieces": 3, "gpus": 4.0, "cpus": 30.0, "samePlace": False, "expectedS": 20.0}
+
+
+@pytest.mark.parametrize("changes", [0, 2])
+def test_a_gang_of_whole_machines_begins_within_four_minutes_on_a_platform_full_of_small_jobs(changes):
+    scene = begun(run_s=20.0, capacity=7)
+    for n in range(changes):  # waiting is counted from the record, and outlives the leader
+        scene.later(60.0 + 50.0 * n, lambda: scene.leader() and scene.crash(scene.leader() or ""))
+        scene.later(61.0 + 50.0 * n, lambda: [scene.start(i) for i in range(3) if f"node-{i}" not in scene.nodes])
+    assert crowded(scene, 300.0, GANG) <= 240.0 and not scene.broken
+
+
+def test_what_is_held_for_the_largest_is_not_returned_as_idle_and_goes_to_nobody_else():
+    rooms = [room("m1", empty=True), room("m2", empty=True), *[full(f"m{n}", []) for n in range(3, 7)]]
+    large = p.Need("wk-1", spec("wk-1", kind=Kind.GANG, tasks=3, gpus=4.0, cpus=30.0), [0, 1, 2], 900.0, 60.0, {})
+    small = p.Need("wk-2", spec("wk-2", tasks=9), list(range(9)), 900.0, 60.0, {})
+    snap = snapshot(rooms, [large, small])
+    snap.refused = {("g4", zone, spot) for zone in "ab" for spot in (True, False)}
+    large.waited_s = 90.0
+    assert {name for _, places in make_plan(copy.deepcopy(snap)).starts for _, name in places} == {"m1", "m2"}
+    large.waited_s = 100.0
+    plan = make_plan(copy.deepcopy(snap))
+    assert not plan.starts and not plan.spare
+    # A job that no zone could hold bars nobody, and is named once it has waited for the whole time.
+    large.spec, large.indices = msgspec.structs.replace(large.spec, tasks=40), list(range(40))
+    large.waited_s = 300.0
+    plan = make_plan(snap)
+    assert plan.too_large == "wk-1" and plan.starts
+
+
+def test_without_room_kept_together_it_does_not(monkeypatch):
+    monkeypatch.setattr("winglift.policy.plan.hold", lambda board: None)
+    assert crowded(begun(run_s=20.0, capacity=7), 300.0, GANG) > 240.0
--- a/winglift/policy/holding.py
+++ b/winglift/policy/holding.py
@@ -14,13 +14,6 @@
 from .snapshot import Need, Room
 
 
-def _overdue(need: Need) -> bool:
-    """Has a job waited for long that has not begun? The replicas of a service go before all else anyhow."""
-    if need.probe or need.waited_s <= c.BEGIN_MOST_S * c.HOLD_AFTER_SHARE:
-        return False
-    return need.spec.kind is Kind.GANG or (need.spec.kind is Kind.ARRAY and not need.zones)
-
-
 def _size(need: Need) -> tuple[float, float, float]:
     tasks = len(need.indices) if need.spec.kind is Kind.GANG else 1
     return need.spec.gpus * tasks, need.spec.cpus * tasks, need.spec.memory_gb * tasks
@@ -35,8 +28,10 @@
 
 
 def largest(needs: list[Need]) -> Need | None:
-    """The job that room is kept for: of those that have waited for long the largest, of equals the first."""
-    return max((n for n in needs if _overdue(n)), key=lambda n: (_size(n), n.waited_s, n.ref), default=None)
+    """The job that room is kept for: of those that have waited for long the largest, of equals the first. The replicas
+    of a service go before all else anyhow."""
+    late = (n for n in needs if n.overdue and n.spec.kind is not Kind.SERVICE)
+    return max(late, key=lambda n: (_size(n), n.waited_s, n.ref), default=None)
 
 
 def hold(board: Board) -> Need | None:
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -273,6 +273,7 @@
     reserves = Reserves(board)
     for reserve in snap.reserves:
         reserves.keep(reserve)
-    board.plan.spare = {r.name for r in board.up if r.empty}
+    # What is held for a job that waits for more machines yet is not idle, however long that takes.
+    board.plan.spare = {r.name for r in board.up if r.empty and not r.kept_for}
     board.plan.drain = consolidate(board, reserves)
     return board.plan
--- a/winglift/policy/renting.py
+++ b/winglift/policy/renting.py
@@ -62,13 +62,15 @@
         # with a boot ahead, the start is late for a guarantee in any case.
         kinds = (False,) if not spec.spot else (True, False) if self.slack_gone(need) else (True,)
         types = self.snap.types.values()
+        may_wait = need.spare or (spec.due_s is not None and not need.overdue)
         for mtype in types:
             if not worth.fits(spec, mtype):
                 continue
             ready = worth.ready_s(spec, mtype) + need.run_s
             for spot in kinds if mtype.spot_price is not None else (False,):
-                if (spec.due_s is not None or need.spare) and worth.dear(spec, mtype, types, spot):
-                    # What is paid for anyway serves all; but none is rented that costs more than being late does.
+                if may_wait and worth.dear(spec, mtype, types, spot):
+                    # What is paid for anyway serves all; but none is rented that costs more than being late does. Only
+                    # what would not begin at all takes it: no class is starved for its price.
                     continue
                 for zone in mtype.zones:
                     if (spec.zone is not None and zone != spec.zone) or not zone_ok(spec, zone, placed):
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -172,6 +172,12 @@
     def claim(self) -> tuple[bool, bool, int]:
         return claim(self.spec.priority, self.within)
 
+    @property
+    def overdue(self) -> bool:
+        """Has none of it begun, though it has waited for much of the time in which the largest too should begin?"""
+        return (self.waited_s > c.BEGIN_MOST_S * c.HOLD_AFTER_SHARE and not self.probe
+                and not any(self.zones.values()))
+
     def guest(self, room: Room) -> bool:
         """Is the room on a machine that other work needs more? It is used last, but used."""
         return self.plain and room.type.gpus > 0
