Reread: one way to find replicas places elsewhere; hold returns nothing

Cause: guests.py had the loop of consolidate once more, with small variations, and hold returned what nobody read. Change: take_elsewhere serves both; each caller gives the places back, consolidate after it has looked at the reserves with them taken, as before.

--- a/winglift/policy/guests.py
+++ b/winglift/policy/guests.py
@@ -41,8 +41,10 @@
         count = next((n for n in range(1, len(movers) + 1) if _cleared(room, need.spec, movers[:n])), None)
         if count is None or (best is not None and count >= best[0]):
             continue
-        found = _elsewhere(board, room, movers[:count])
-        if found is not None:
+        found = take_elsewhere(board, room, movers[:count], board.up, warm=False)
+        for mover, target in found:
+            target.give(mover.spec)
+        if len(found) == count:
             best = count, room, found
     if best is None:
         return False
@@ -53,17 +55,21 @@
     return True
 
 
-def _elsewhere(board: Board, room: Room, movers: list[Mover]) -> list[tuple[Mover, Room]] | None:
-    """A place for each of them on a machine of their own kind, or None."""
-    found: list[tuple[Mover, Room]] = []
+def take_elsewhere(board: Board, room: Room, movers: list[Mover], rooms: list[Room],
+                   warm: bool) -> list[tuple[Mover, Room]]:
+    """Places for a machine's replicas among these rooms, taken as far as there are any: the caller gives them back.
+
+    `warm`: only beside their images.
+    """
+    taken: list[tuple[Mover, Room]] = []
     for mover in movers:
-        need = Need(mover.ref, mover.spec, [], board.snap.now, 0.0, {}, plain=True)
+        plain = worth.plain(mover.spec, board.snap.types)
+        need = Need(mover.ref, mover.spec, [], board.snap.now, 0.0, {}, plain=plain)
         placed = {z: n - (z == room.zone) for z, n in mover.zones.items()}
-        target = Search(need, [r for r in board.up if r is not room and not need.guest(r)], board.snap.now).best(placed)
+        target = Search(need, [r for r in rooms if r is not room and not need.guest(r)
+                               and (not warm or mover.spec.image in r.images)], board.snap.now).best(placed)
         if target is None:
             break
         target.take(mover.spec)
-        found.append((mover, target))
-    for mover, target in found:
-        target.give(mover.spec)
-    return found if len(found) == len(movers) else None
+        taken.append((mover, target))
+    return taken
--- a/winglift/policy/holding.py
+++ b/winglift/policy/holding.py
@@ -34,11 +34,11 @@
     return max(late, key=lambda n: (_size(n), n.waited_s, n.ref), default=None)
 
 
-def hold(board: Board) -> Need | None:
-    """Keep the machines nearest to holding the largest job that waits; its need, if there is one and it could fit."""
+def hold(board: Board) -> None:
+    """Keep the machines nearest to holding the largest job that waits, if there is one and it could fit."""
     need = largest(board.snap.needs)
     if need is None:
-        return None
+        return
     tasks = len(need.indices) if need.spec.kind is Kind.GANG else 1
     zones: dict[str, list[Room]] = {}
     for room in board.up:
@@ -62,8 +62,7 @@
     if best is None or len(best[1]) > c.HOLD_MOST_PART * len(board.up):
         if need.waited_s > c.BEGIN_MOST_S:
             board.plan.too_large = need.ref
-        return None
+        return
     for room in best[1]:
         if room.kept_for in ("", need.ref) or room.kept_rank < need.spec.priority.rank:
             room.kept_for, room.kept_rank = need.ref, need.spec.priority.rank
-    return need
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -9,11 +9,11 @@
 from __future__ import annotations
 
 from .. import constants as c
-from ..wire.users import Kind, Submission
+from ..wire.users import Kind
 from . import worth
 from .board import Board, Limits
 from .gangs import Gangs
-from .guests import make_way
+from .guests import make_way, take_elsewhere
 from .holding import hold
 from .preemption import Offers
 from .reserve import Reserves
@@ -223,20 +223,10 @@
         tried += 1
         if tried > c.MOVE_CANDIDATES:
             return None
-        taken: list[tuple[Room, Submission]] = []
-        for mover in room.movers:
-            placed = {z: n - (z == room.zone) for z, n in mover.zones.items()}
-            need = Need(mover.ref, mover.spec, [], snap.now, 0.0, {}, plain=worth.plain(mover.spec, snap.types))
-            held = [r for r in others if r.spot == room.spot and r.fits(mover.spec)
-                    and mover.spec.image in r.images and r is not room and not need.guest(r)]
-            target = Search(need, held, snap.now).best(placed)
-            if target is None:
-                break
-            target.take(mover.spec)
-            taken.append((target, mover.spec))
+        taken = take_elsewhere(board, room, room.movers, [r for r in others if r.spot == room.spot], warm=True)
         fits = len(taken) == len(room.movers) and reserves.covered(r for r in others if r is not room)
-        for target, spec in taken:
-            target.give(spec)
+        for mover, target in taken:
+            target.give(mover.spec)
         if fits:
             return room.name
     return None
