--- a/standins/world.py
+++ b/standins/world.py
@@ -204,7 +204,8 @@
         self.loss = 0.002  # of the messages; each is sent again after 0.2 s
         self.log: list[str] = []
         self.number = 0
-        self.watch: Callable[[Message], str | None] = lambda message: None  # "hold", "drop" or None
+        # "hold", "drop", None, or the seconds after which a copy comes as well
+        self.watch: Callable[[Message], str | float | None] = lambda message: None
 
     def shut(self, host: Host) -> None:
         self.listeners = {a: found for a, found in self.listeners.items() if found[0] is not host}
@@ -242,7 +243,9 @@
             self.kept.append(arrive)
         elif cut is not None and cut.hold:
             cut.held.append(arrive)
-        elif cut is None and verdict is None:
+        elif cut is None and verdict != "drop":
+            if verdict is not None:
+                self.loop.call_later(float(verdict), arrive, context=self.own)
             delay = self.rng.uniform(0.0005, 0.004) + (0.2 if self.rng.random() < self.loss else 0.0)
             when = max(self.loop.now + delay, after)
             self.loop.call_at(when, arrive, context=self.own)
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -64,6 +64,15 @@
 # (and those that died are listed as failed after some 30 s)
 ZONE_SILENT_PART = 0.5  # of a zone's machines silent at once speaks for a cut, not for the machines
 INHERITED_TRUST_S = 5.0  # s in which a machine that runs by the list finds a new leader; later it promises no room
+DEAF_REPORTS = 3  # reports in a row that don't show the starts sent before them: answers seldom get lost thrice
+DEAF_LEASE_SHARE = 0.5  # of lease_s; a session that ends so soon after a report has ended for want of answers
+DEAF_KEPT_S = 20.0  # s for which a machine that does not hear is kept, once it is empty: cuts often end sooner
+DEAF_MOST_PART = 0.5  # of a zone's machines; if more don't hear, the fault is on our side and none of them is given up
+STRANDED_AFTER_S = 3.0  # s without the state service and any node until a few workers are asked to look for others
+SCOUTS = 3  # workers sent on to find out: one or two may die meanwhile, and seem to have found somebody
+SCOUTS_AGAIN_S = 30.0  # s after one came back until others are sent: about as long as a cut lasts
+REPORT_LATEST = 1.25  # of report_s; a sound worker reports at least so often
+WORKER_TRY_S = 5.0  # s that a worker spends on a node that does not answer, and until it tries the next
 SILENT_REPORTS = 3.0  # of report_s; after this much silence a lone machine that does not answer either is deleted, if
 # parts of services or gangs are on it: a hang or a loss, since a worker on its way to another node would answer
 ZONE_SILENT_REPORTS = 3.0  # of report_s; a machine not heard for longer counts as silent
@@ -139,6 +148,9 @@
 PATIENCE_SHARE = 0.25  # of the time in which owed work should start: so long an array waits for what ends by itself
 LOOK_KEPT_S = 2.0  # s for which what a machine's tasks would lose by a stop is not added up anew
 LOOKS_SPARE = 100  # machines gone that are remembered so before they are swept out
+BEGIN_MOST_S = 240.0  # s; the largest jobs too begin within four minutes: the users' word
+HOLD_AFTER_SHARE = 0.4  # of that; for a job that has waited longer room is kept together: the rest is for others to end
+HOLD_MOST_PART = 0.5  # of the machines that are up; more is kept together for nobody
 DISPLACE_AFTER_SHARE = 0.4  # of a class's start aim; a gang that has waited for longer displaces owed work
 DISPLACE_S = 10.0  # s; what an owed task loses that must find another place: a stop, a placing, perhaps a fetch
 GANG_KEEP_S = 12.0  # s for which room being made is kept for a gang: stops with their saves take 2 to 8 s
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -19,6 +19,7 @@
 from ..model import records
 from ..model.job import JobState
 from ..model.leadership import Role
+from ..model.machine import MachineEvent
 from ..model.picture import Picture
 from ..model.reported import on_report, orders
 from ..model.task import PRESENT, TaskState
@@ -78,6 +79,7 @@
         self._tasks: list[asyncio.Task] = []
         self._wake = asyncio.Event()
         self._last_plan = 0.0
+        self._too_large: set[str] = set()  # jobs of which that was told
         self._next_word = 0.0  # when the other nodes are told of the fleet again
         self._next_pass = math.inf  # when the cycle's next pass is due at the latest
         self.picture.known_images = dict(link.fleet.images)
@@ -166,8 +168,9 @@
         entitled = self.me.entitled(now)
         if not entitled and not self.ends_only():
             return []
-        machine = self.picture.machines[report.machine]
-        due = orders(machine, report, now, ends_only=not entitled) if report.token == self.term else []
+        if report.token != self.term:
+            return commands if entitled else []
+        due = orders(self.picture.machines[report.machine], report, now, ends_only=not entitled)
         return commands + due if entitled else due
 
     def starts_wait(self, name: str) -> bool:
@@ -275,6 +278,8 @@
             log.info("new machines of %s in %s stay dark: others are rented elsewhere", mtype, zone)
         for machine, why in found.give_up:
             self.inventory.delete(machine, why)
+        for machine in found.retry:
+            machine.move(MachineEvent.HEARS)
         self.prober.ask(found.ask, found.controls)
 
     # -- commit and act ------------------------------------------------------------------------
@@ -315,6 +320,10 @@
                 if job.spec.tasks > 40 and not self.batcher.fits(job):
                     self.batcher.reject(job, now, 0 if job.kind is Kind.GANG else len(chosen) // 2)
                 log.debug("places %s: %s", ref, ", ".join(f"{i} on {m.name}" for i, m in chosen))
+        if plan.too_large is not None and plan.too_large not in self._too_large:
+            self._too_large.add(plan.too_large)
+            log.info("%s has waited for %.0f s and does not fit on what is up: %s", plan.too_large, c.BEGIN_MOST_S,
+                     plan.waiting.get(plan.too_large, ""))
         for ref, why in plan.waiting.items():
             log.debug("%s waits: %s", ref, why)
         for rental in merge_rentals(plan.rentals):
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -168,10 +168,12 @@
         run_s = self.script.ask("estimate_s", run_s, spec.job_class, spec.estimate_s, run_s)
         due = sub_deadline(job.submitted, spec.due_s, run_s)
         may_rent = job.kind is not Kind.GANG or gang_may_rent(now - job.waits_since, self._boot_s(spec))
+        # From the record, so that a change of the leader does not begin the wait anew.
+        waited = now - job.waits_since if job.next_attempt > 1 else max(0.0, wall - job.submitted)
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
         return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
                            frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self.kept,
-                           near=self.near.get(job.ref, frozenset()),
+                           near=self.near.get(job.ref, frozenset()), waited_s=waited,
                            late=now - job.waits_since > self._displace_after_s.get(spec.job_class, math.inf))
 
     def _stuck(self, job: Job, now: float) -> list[policy.Stuck]:
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -187,6 +187,8 @@
     session: int = 0
     seq: int = -1
     last_heard: float | None = None
+    unheeded: int = 0  # reports in a row that did not show the starts of an answer before them
+    deaf_since: float = 0.0
     unanswered: float = -math.inf  # when a question was sent to it that it did not answer
     taken_at: float | None = None  # when a notice runs out
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
@@ -240,6 +242,8 @@
         """The one place where a machine changes its state."""
         new = MACHINE_TRANSITIONS.get((self.state, event))
         if new is not None:
+            if new is not self.state:
+                self.unheeded = 0
             self.state = new
         return self.state
 
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from .. import constants as c
 from ..wire import workers as w
 from ..wire.users import Kind
 from . import blame
@@ -27,6 +28,10 @@
     """Take in a report and return the commands to answer it with, or None if it is not to be answered."""
     if report.machine in picture.deleted:
         return None
+    if report.token < picture.term and report.machine not in picture.machines:
+        # Perhaps a copy that is minutes old, of a machine that an earlier term has deleted: it is no room. A machine
+        # that is there learns the term from this answer, and its next report shows it.
+        return []
     machine = picture.adopt(report.machine, report.type, report.zone, report.spot, now, None)
     if (report.session, report.seq) <= (machine.session, machine.seq):
         return None  # late: it must never free a task
@@ -35,6 +40,12 @@
         # Answering it with no commands brings the term to the worker.
         return []
     new_session = report.session > machine.session
+    if not direct:
+        _heeds(picture, machine, report, new_session, now)
+    elif machine.state is MachineState.DEAF:
+        machine.move(MachineEvent.HEARS)  # it has answered a question
+        log.info("%s hears again", machine.name)
+        picture.changed = True
     machine.session, machine.seq = report.session, report.seq
     machine.last_heard = now
     machine.addr = report.addr
@@ -82,6 +93,32 @@
     return commands
 
 
+def _heeds(picture: Picture, machine: Machine, report: w.Report, new_session: bool, now: float) -> None:
+    """Do our answers reach it? Told by what its reports show, never by a single lost answer.
+
+    A worker's lease runs from its last answered report. If it ended although reports had come all the while, they were
+    answered in vain; and what is sent in answers shows in the next report, or the answer was lost.
+    """
+    listed = {piece.key(): piece.attempt for piece in report.tasks}
+    sent = [t for t in machine.tasks.values() if t.state is TaskState.SENT and t.sent_session == report.session
+            and t.sent_seq < report.seq]
+    in_vain = (new_session and machine.session > 0 and machine.last_heard is not None
+               and now - machine.last_heard < picture.settings.settings.workers.lease_s * c.DEAF_LEASE_SHARE)
+    if any(listed.get((t.job.ref, t.index)) == t.attempt for t in sent):
+        machine.unheeded = 0
+        if machine.state is MachineState.DEAF:
+            machine.move(MachineEvent.HEARS)
+            log.info("%s hears again", machine.name)
+        return
+    machine.unheeded = c.DEAF_REPORTS if in_vain else machine.unheeded + bool(sent)
+    if machine.unheeded >= c.DEAF_REPORTS and machine.state is MachineState.UP:
+        machine.move(MachineEvent.UNHEEDED)
+        machine.deaf_since = now
+        picture.changed = True
+        log.info("%s reports and does not hear: nothing more is placed there (%d tasks on it)", machine.name,
+                 len(machine.tasks))
+
+
 def _may_reap(picture: Picture, key: tuple[str, int], machine: Machine, attempt: int) -> bool:
     """Only once the record no longer names the place: for a finished task, once `done` is committed (6)."""
     job = picture.jobs.get(key[0])
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -24,6 +24,7 @@
 from .wire import back
 from .wire.cloud import MachineType
 from .workers.reports import Reports
+from .workers.stranded import State as Stranding
 
 log = logging.getLogger(__name__)
 
@@ -117,8 +118,17 @@
             return "machine types are not known yet"
         if self.state.health() is Health.DOWN and self.link.state_works_elsewhere(now):
             return "the state service refuses this node"
+        # A node that hears neither the state service nor any other node may be as good as any, or cut off alone: its
+        # workers tell, by finding others or by being silent.
+        quiet_s = now - max(self._began, self.reports.heard_at)
+        if self.settings.seeds and not self.hears_others() and (
+                self.reports.stranded.state is Stranding.SENDING or quiet_s > self.settings.settings.workers.lease_s):
+            return "neither the state service nor any node is in reach"
         return None
 
+    def hears_others(self) -> bool:
+        return self.state.health() is not Health.DOWN or self.link.hears_anyone(steady())
+
     def crowded(self) -> bool:
         """Are so many connections open that reports, peers and the services might soon find no socket?"""
         limit = self.settings.settings.machine_limits.sockets * c.SOCKET_SHARE
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -26,6 +26,7 @@
     give_up: list[tuple[Machine, str]] = field(default_factory=list)  # to be deleted, and why
     dark: set[Place] = field(default_factory=set)  # type and zone whose new machines stay dark from now on
     ask: list[Machine] = field(default_factory=list)  # to be asked directly whether they are still there
+    retry: list[Machine] = field(default_factory=list)  # they may hear after all: it is rather us who were not heard
     controls: dict[str, Machine] = field(default_factory=dict)  # per zone the machine heard last: it should answer
 
 
@@ -41,6 +42,7 @@
         self._cut_until: dict[str, float] = {}
         self._began: float | None = None  # this leader's first look
         self.unheard: frozenset[str] = frozenset()  # zones of which a new leader has heard nothing yet
+        self.unheeded: frozenset[str] = frozenset()  # zones so many of whose machines don't hear that it may be us
         self.awaits_all = False  # nothing has been heard at all yet
 
     def look(self, now: float, wall: float, hears_anyone: bool, hears_all: bool) -> Verdict:
@@ -76,9 +78,11 @@
         for zone, count in quiet.items():
             if count > max(1.0, c.ZONE_SILENT_PART * up[zone]):
                 self._uneasy_until[zone] = now + c.UNEASY_MEMORY_S
+        self._judge_deaf(machines)
         holding = {task.machine.name for job in self.picture.jobs.values() if job.state is JobState.CANCELLED
                    for task in job.active.values()}
         found = Verdict(dark=self.picture.boots.look(machines, now))
+        deaf: list[Machine] = []
         for machine in machines:
             if machine.state is MachineState.DELETING:
                 continue
@@ -91,12 +95,27 @@
                     and now - machine.last_heard > c.PROBE_REPORTS * self.workers.report_s
                     and machine.unanswered < machine.last_heard):
                 found.ask.append(machine)
+            elif machine.state is MachineState.DEAF:
+                if machine.zone in self.unheeded and now - machine.deaf_since > self.workers.lease_s:
+                    found.retry.append(machine)
+                deaf.append(machine)
             elif machine.last_heard is not None and machine.state is MachineState.UP and machine.addr:
                 best = found.controls.get(machine.zone)
                 if best is None or machine.last_heard > (best.last_heard or 0.0):
                     found.controls[machine.zone] = machine
+        found.ask += deaf  # after those whose silence may be the end of what runs there
         return found
 
+    def _judge_deaf(self, machines: list[Machine]) -> None:
+        """In which zones do so many not hear that it is rather this node that is not heard?"""
+        alive: dict[str, int] = {}
+        deaf: dict[str, int] = {}
+        for machine in machines:
+            if machine.state in (MachineState.UP, MachineState.DEAF):
+                alive[machine.zone] = alive.get(machine.zone, 0) + 1
+                deaf[machine.zone] = deaf.get(machine.zone, 0) + (machine.state is MachineState.DEAF)
+        self.unheeded = frozenset(z for z, n in deaf.items() if n > max(1.0, c.DEAF_MOST_PART * alive[z]))
+
     def _await(self, now: float, up: dict[str, int]) -> None:
         """A cut shows by silence alone, which a new leader has not seen yet: until a zone's first report, or for as
         many as make silence, nothing is rented there. Reports of a zone that lives come within milliseconds."""
@@ -150,6 +169,9 @@
             return None
         if machine.taken_at is not None and now > machine.taken_at + c.TAKEN_SILENT_S and quiet > c.TAKEN_SILENT_S + 1:
             return "taken by the cloud"
+        if (machine.state is MachineState.DEAF and not machine.tasks and machine.zone not in self.unheeded
+                and now - max(machine.deaf_since, since) > c.DEAF_KEPT_S):
+            return "does not hear"
         if machine.state is MachineState.DRAINING and not machine.tasks and machine.drain_reason != "notice":
             return machine.drain_reason
         # Nobody's patience is shorter than that, and hardly a machine is silent for so long.
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -14,6 +14,7 @@
 from .board import Board, Limits
 from .gangs import Gangs
 from .guests import make_way
+from .holding import hold
 from .preemption import Offers
 from .reserve import Reserves
 from .search import Search
@@ -262,6 +263,7 @@
     limits, gangs = Limits(board), Gangs(board)
     for need in snap.needs + [stuck.need for stuck in snap.stuck]:
         need.plain = worth.plain(need.spec, snap.types)
+    hold(board)
     for need in sorted(snap.needs, key=order):
         if need.spec.kind is Kind.GANG and need.spec.tasks > 1:
             gang(board, limits, gangs, need)
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -87,7 +87,7 @@
     soon_memory_gb: float = 0.0
     alone: bool = False  # its zone has no node: once that is cut off, what runs there dies with its lease
     kept_for: str = ""  # the gang for which its room is being made: only work of higher priority takes of it meanwhile
-    kept_rank: int = 0  # that gang's priority
+    kept_rank: int = 0  # its priority
     stamp: int = 0  # changes whenever its room does
 
     def __post_init__(self) -> None:
@@ -161,6 +161,7 @@
     avoid: frozenset[str] = frozenset()  # machines on which it has failed
     patient: bool = False  # it waits for so short a time that nothing is stopped for it yet: others end by themselves
     probe: bool = False  # it looks mistaken: it may use what is free, and nothing is stopped or rented for it
+    waited_s: float = 0.0  # since its acceptance, or since its last attempt ended
     keeps: bool = False  # room is kept for it
     spare: bool = False  # nobody waits for it: room for what may come
     near: frozenset[str] = frozenset()  # machines where the steps before it ran: what they left may still be there
@@ -238,6 +239,7 @@
     rentals: list[Rental] = field(default_factory=list)
     waiting: dict[str, str] = field(default_factory=dict)  # job: why its tasks wait
     spare: set[str] = field(default_factory=set)  # empty machines that nothing needs
+    too_large: str | None = None  # a job that has waited for long, and that no zone's machines could hold
     drain: str | None = None  # a machine whose replicas fit elsewhere
 
 
--- a/winglift/workers/probes.py
+++ b/winglift/workers/probes.py
@@ -13,6 +13,7 @@
 from .. import constants as c
 from ..model.entities import Machine
 from ..model.leadership import Leadership
+from ..model.machine import MachineState
 from ..model.picture import Picture
 from ..model.reported import on_report
 from ..net.client import Unanswered
@@ -37,7 +38,8 @@
         for machine in machines:
             if len(self._asking) >= c.PROBES_AT_ONCE:
                 return
-            control = controls.get(machine.zone)
+            # Where no machine hears there is none to compare with; their answers alone count then.
+            control = machine if machine.state is MachineState.DEAF else controls.get(machine.zone)
             if machine.name not in self._asking and machine.addr and control is not None:
                 self._asking[machine.name] = asyncio.ensure_future(self._ask(machine, control))
 
@@ -49,6 +51,9 @@
         """No answer counts only if the control answers: a leader cut off from all workers had given sound ones up."""
         sent = steady()
         try:
+            if control is machine:
+                await self._question(machine)
+                return
             answered, reached = await asyncio.gather(self._question(machine), self._question(control))
             # If this node stood still, the answer may have been there.
             if not answered and reached and steady() - sent < c.PROBE_TIMEOUT_S + c.PAUSE_S:
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -14,6 +14,7 @@
 from collections.abc import Awaitable
 from dataclasses import dataclass
 from typing import Protocol
+from zlib import crc32
 
 import msgspec
 
@@ -23,6 +24,7 @@
 from ..net.outside import steady
 from ..wire import workers as w
 from ..wire.users import Invalid
+from .stranded import Stranded
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +56,9 @@
     @property
     def controller(self) -> Leader | None: ...
 
+    def hears_others(self) -> bool:
+        """Is the state service or any other node in hearing?"""
+
     def known_term(self) -> int:
         """The highest term that this node has heard of."""
 
@@ -76,6 +81,9 @@
     def __init__(self, node: Service) -> None:
         self.node = node
         self._contacts: dict[str, Contact] = {}
+        workers = node.settings.settings.workers
+        self.heard_at = -math.inf  # when a worker was last heard here
+        self.stranded = Stranded(len(node.settings.seeds), workers.lease_s, workers.report_s)
 
     def handle(self, body: bytes) -> Answer | Awaitable[Answer]:
         """The answer to a report, at once where this node can give it: most reports then cost no task of their own."""
@@ -86,6 +94,11 @@
             return 400, msgspec.json.encode({"error": str(err)})
         now = steady()
         controller = self.node.controller
+        self.heard_at = now
+        self.stranded.look(self.node.hears_others(), now)
+        knows_more = report.token > self.node.known_term()
+        if self.stranded.sends_on(report.machine, (report.session, report.seq), not report.tasks, knows_more, now):
+            return 421, msgspec.json.encode(w.Redirect(self._another(report.machine)))
         home = self._home(report.zone, now)
         if home is not None and not (controller is not None and controller.starts_wait(report.machine)):
             target = self._redirect(report.machine, home, now)
@@ -107,10 +120,17 @@
         return self._note(report, answer if answer[0] == 200 else self._renew(report), away)
 
     def _note(self, report: w.Report, answer: Answer, away: bool) -> Answer:
-        if away and answer[0] == 200:
-            self._known(report.machine, steady()).served = True
+        if answer[0] == 200:
+            self.stranded.served(report.machine, steady())
+            if away:
+                self._known(report.machine, steady()).served = True
         return answer
 
+    def _another(self, machine: str) -> str:
+        """Any other node, the same one for a machine: who leads by now is not known here."""
+        seeds = self.node.settings.seeds
+        return seeds[crc32(machine.encode()) % len(seeds)].node
+
     def take(self, report: w.Report) -> Answer | None:
         """Answer as the leader, or None when this node does not lead."""
         controller = self.node.controller
