Rooms are made so again in place; who might yield is asked of all rooms at once

Cause: after the last change making rooms anew was still a tenth of a leader's work at 967 machines, since a look at what could be stopped counted as a change of the room; and each room was asked by a call of its own whether anything on it might yield.

Change: a look is forgotten at the next cycle, and what a plan took is set back in place (Room.free); Preemption.might takes all rooms and works out the need's reach once. No decision changes: rooms and plans equal those made anew (tests/test_growth.py).

--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -65,7 +65,7 @@
         self._looks: dict[str, Look] = {}
         # Rooms of machines that run, as made for an earlier snapshot. Most machines are as they were a cycle ago:
         # making all rooms anew took a quarter of a leader's work at 970 machines.
-        self._rooms: dict[str, tuple[Load, policy.Room]] = {}
+        self._rooms: dict[str, tuple[Load, policy.Room, Machine]] = {}
         self._unheard_s = 2.5 * settings.settings.workers.report_s
         self._attended: frozenset[str] | None = None
         self._within: set[str] = set()  # of the snapshot being made: jobs within their teams' guarantees,
@@ -252,18 +252,21 @@
         if now - (machine.last_heard or 0) > self._unheard_s:
             return None
         load = machine.load()
-        kept = self._rooms.get(machine.name)
-        if kept is not None and kept[0] is load and not kept[1].touched and kept[1].type is mtype:
-            return kept[1]
-        room = policy.Room(
-            machine.name, mtype, machine.zone, machine.spot, mtype.cpus - load.cpus, mtype.gpus - load.gpus,
-            mtype.memory_gb - load.memory_gb, images=load.images, held=load.held, empty=not machine.tasks,
-            replicas=load.replicas, fixed=load.fixed, yields=load.yields, yield_gpus=load.yield_gpus, gives=load.gives,
-            source=lambda: self._look(machine), soon_cpus=load.soon_cpus,
-            soon_gpus=load.soon_gpus, soon_memory_gb=load.soon_memory_gb, fetches=load.fetches,
-            alone=self._alone(machine.zone),
-        )
-        self._rooms[machine.name] = load, room
+        known = self._rooms.get(machine.name)
+        if known is None or known[1].type is not mtype or known[2] is not machine:
+            room = policy.Room(machine.name, mtype, machine.zone, machine.spot, 0.0, 0.0, 0.0,
+                               source=lambda: self._look(machine), alone=self._alone(machine.zone))
+        else:
+            room = known[1]
+            room.forget()
+            if known[0] is load and not room.touched:
+                return room
+        room.free(mtype.cpus - load.cpus, mtype.gpus - load.gpus, mtype.memory_gb - load.memory_gb,
+                  (load.soon_cpus, load.soon_gpus, load.soon_memory_gb))
+        room.images, room.held, room.fetches, room.empty = load.images, load.held, load.fetches, not machine.tasks
+        room.replicas, room.fixed, room.yields = load.replicas, load.fixed, load.yields
+        room.yield_gpus, room.gives = load.yield_gpus, load.gives
+        self._rooms[machine.name] = load, room, machine
         return room
 
     def _look(self, machine: Machine) -> tuple[list[policy.Victim], list[policy.Mover]]:
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -128,8 +128,8 @@
         # A start that waits for a fetch comes later than one that waits for a stop.
         weight = c.FETCH_WEIGHT if spec.due_s is None else 1.0
         rooms_up = self.board.with_image(spec.image) if warm else self.board.up
-        allowed = self._allowed(need, [
-            r for r in rooms_up if r.fits_soon(spec) or (r.yields and preemption.might(need, r))])
+        might = {r.name for r in preemption.might(need, rooms_up)}
+        allowed = self._allowed(need, [r for r in rooms_up if r.name in might or r.fits_soon(spec)])
         # Gangs are of few sizes: what one has found out about a machine holds for the next, until its room changes.
         kind = preemption.kind(need), spec.gpus, spec.cpus, spec.memory_gb, warm, displace
         kept = self._chosen.setdefault(kind, {})
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -57,14 +57,18 @@
             return True
         return need.spec.priority.rank == 0 and not self._owed(need)
 
-    def might(self, need: Need, room: Room) -> bool:
-        """Without looking at its tasks: are there GPUs enough on it, if all that may yield did?"""
+    def might(self, need: Need, rooms: Iterable[Room]) -> list[Room]:
+        """Without looking at their tasks: on which are there GPUs enough, if all that may yield did?"""
         reach = 3 if self._owed(need) else need.spec.priority.rank
-        return need.spec.gpus <= room.gpus + room.soon_gpus + (room.yield_gpus[reach - 1] if reach else 0.0) + EPS
+        least = need.spec.gpus - EPS
+        if not reach:
+            return [r for r in rooms if r.yields and r.gpus + r.soon_gpus >= least and need.allows(r)]
+        return [r for r in rooms
+                if r.yields and r.gpus + r.soon_gpus + r.yield_gpus[reach - 1] >= least and need.allows(r)]
 
     def hopes(self, need: Need, rooms: Iterable[Room]) -> bool:
         """Without looking at any task: might room be made somewhere?"""
-        return not self.hopeless(need) and any(r.yields and need.allows(r) and self.might(need, r) for r in rooms)
+        return not self.hopeless(need) and bool(self.might(need, rooms))
 
     @staticmethod
     def kind(need: Need) -> tuple:
@@ -126,12 +130,11 @@
         self.none = True
         if preemption.hopeless(need):
             return
-        for room in rooms:
-            if room.yields and need.allows(room) and preemption.might(need, room):
-                self._order[room.name] = len(self._order)
-                entry = self._entry(room)
-                if entry is not None:
-                    self._heap.append(entry)
+        for room in preemption.might(need, rooms):
+            self._order[room.name] = len(self._order)
+            entry = self._entry(room)
+            if entry is not None:
+                self._heap.append(entry)
         heapify(self._heap)
         self.none = not self._heap
 
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -92,7 +92,8 @@
     kept_rank: int = 0  # its priority
     stamp: int = 0  # changes whenever its room does
     gives: tuple[Amounts, Amounts, Amounts] | None = None  # what victims of rank 0, up to 1 and up to 2 would free
-    touched: bool = False  # it is no longer what it was made as: the next cycle needs a new one
+    looked: bool = False  # `source` was asked
+    touched: bool = False  # it is no longer what it was made as, but for a look: the next cycle makes it so again
 
     def __post_init__(self) -> None:
         if self.yields < 0:
@@ -102,10 +103,20 @@
             self.yield_gpus = (ranks[0], ranks[1], ranks[2])
 
     def look(self) -> None:
-        if self.source is not None:
-            self.touched = True
+        if self.source is not None and not self.looked:
+            self.looked = True
             self.victims, self.movers = self.source()
-            self.source = None
+
+    def forget(self) -> None:
+        """What a look has shown holds for one cycle."""
+        if self.looked:
+            self.victims, self.movers, self.looked = [], [], False
+
+    def free(self, cpus: float, gpus: float, memory_gb: float, soon: Amounts) -> None:
+        """What is free at the beginning of a cycle, and what will be once its stops are through; nobody holds it."""
+        self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
+        self.soon_cpus, self.soon_gpus, self.soon_memory_gb = soon
+        self.kept_for, self.kept_rank, self.stamp, self.touched = "", 0, 0, False
 
     def may_give(self, rank: int) -> Amounts:
         """What would become free if all its victims below this rank stopped: without a look at each of them."""
