--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -9,9 +9,11 @@
 from hypothesis import strategies as st
 
 from standins.growth import Fleet, cost, exponent, main, measure
+from standins.scene import Scene
 from winglift import constants as c
-from winglift.controller.lead import pause_s
+from winglift.controller.lead import pause_s, rest_s
 from winglift.model.machine import MachineState
+from winglift.model.task import TaskEvent
 from winglift.policy.plan import make_plan
 from winglift.policy.snapshot import Room, Snapshot
 from winglift.wire.users import Kind
@@ -100,4 +102,39 @@
     assert pause_s(0.001) == c.CYCLE_S
     assert pause_s(0.02) == 0.4 and pause_s(0.05) == 0.5 and pause_s(0.2) == pytest.approx(1.2)
     for took in (0.0, 0.003, 0.01, 0.04, 0.1, 1.0):
-        assert pause_s(took) >= c.CYCLE_PAUSE_LEAST * took
+        assert c.CYCLE_PAUSE_LEAST * took <= pause_s(took) <= rest_s(took) <= max(c.CYCLE_REST_S, pause_s(took))
+
+
+def test_only_who_is_due_at_once_or_lost_a_replica_cuts_the_planners_rest_short():
+    fleet = Fleet(20)
+    hurried: list[int] = []
+    fleet.picture.on_urgent = lambda: hurried.append(1)
+
+    def hurries(act) -> bool:
+        hurried.clear()
+        act()
+        return bool(hurried)
+    assert not hurries(lambda: fleet.job(Kind.ARRAY, 3, 1.0, 5.0))
+    assert hurries(lambda: fleet.job(Kind.GANG, 1, 8.0, 43.0)) and hurries(lambda: fleet.job(Kind.SERVICE, 2, 1.0, 4.0))
+    running = {kind: next(t for j in fleet.picture.jobs.values() if j.kind is kind for t in j.active.values())
+               for kind in Kind}
+    assert hurries(lambda: fleet.picture.drop(running[Kind.SERVICE], TaskEvent.MACHINE_GONE, fleet.now))
+    assert not hurries(lambda: fleet.picture.drop(running[Kind.ARRAY], TaskEvent.MACHINE_GONE, fleet.now))
+
+
+def test_a_hurry_ends_the_rest_and_its_cause_is_planned_for(monkeypatch):
+    """In simulated time cycles take none: here each is told to rest for long."""
+    monkeypatch.setattr("winglift.controller.lead.rest_s", lambda took: 30.0)
+    scene = Scene(1, boot_s=2.0, run_s=5.0, lag_s=1.0)
+    scene.net.loss = 0.0
+    scene.start_all()
+    scene.loop.run(20.0)
+    leader = scene.nodes["node-0"][1].controller
+    assert leader is not None
+    began = scene.loop.now
+    scene.submit("wk-1", dueS=500.0)
+    scene.loop.run(began + 3.0)
+    assert not leader.picture.jobs["wk-1"].active and not leader.inventory.asked and not scene.cloud.machines
+    scene.submit("wk-2", pieces=1)
+    scene.loop.run(lambda: bool(scene.cloud.machines), 3.0)
+    assert scene.loop.now < began + 4.5
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -54,6 +54,11 @@
     return max(c.CYCLE_S, min(took * c.CYCLE_PAUSE, c.CYCLE_PAUSE_S), took * c.CYCLE_PAUSE_LEAST)
 
 
+def rest_s(took: float) -> float:
+    """How long after it the next one begins unless somebody is in a hurry."""
+    return max(pause_s(took), min(took * c.CYCLE_REST, c.CYCLE_REST_S))
+
+
 class Controller:
     def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, election: Election,
                  types: dict[str, MachineType], link: Link, script: Script) -> None:
@@ -86,6 +91,8 @@
                                    lambda: self._wake.set())
         self._tasks: list[asyncio.Task] = []
         self._wake = asyncio.Event()
+        self._hurry = asyncio.Event()
+        self.picture.on_urgent = self._hurry.set
         self._last_plan = 0.0
         self._too_large: set[str] = set()  # jobs of which that was told
         self._next_word = 0.0  # when the other nodes are told of the fleet again
@@ -191,13 +198,15 @@
 
     async def _cycle(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(c.IDLE_CYCLE_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
+            if not self._hurry.is_set():
+                try:
+                    async with asyncio.timeout(c.IDLE_CYCLE_S):
+                        await self._wake.wait()
+                except TimeoutError:
+                    pass
             self._wake.clear()
-            pause = c.CYCLE_S
+            self._hurry.clear()
+            pause = rest = c.CYCLE_S
             self.election.check()
             self.duties.follow()
             if self.batcher.lost or self.book.lost or self.picture.superseded:
@@ -207,13 +216,19 @@
             if self._may_decide(began) and self.loaded:
                 self._step(began)
                 took = steady() - began
-                pause = pause_s(took)
+                pause, rest = pause_s(took), rest_s(took)
                 if took > 0.1:
                     log.debug("a cycle took %.0f ms", took * 1000)
             elif self.loaded and self.ends_only():
                 self._see_to_ends(began)
-            self._next_pass += steady() - began + pause
+            self._next_pass += steady() - began + rest
             await asyncio.sleep(pause)
+            if rest > pause:
+                try:
+                    async with asyncio.timeout(rest - pause):
+                        await self._hurry.wait()
+                except TimeoutError:
+                    pass
 
     def _may_decide(self, now: float) -> bool:
         """Is this node entitled, and since when without a break? A pause of its own ends that too."""
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -40,6 +40,7 @@
         self.changed = True
         self.superseded = False  # a record shows that another leader has decided
         self.on_stop: Callable[[Task], None] = lambda task: None
+        self.on_urgent: Callable[[], None] = lambda: None  # work due at once has come, or a replica was lost
 
     # -- who holds what ------------------------------------------------------------------------
 
@@ -59,6 +60,8 @@
         if job.active.get(task.index) is task:
             del job.active[task.index]
             self.ledger.remove(job.spec)
+            if job.kind is Kind.SERVICE and job.is_open:
+                self.on_urgent()
         task.machine.tasks.pop((job.ref, task.index), None)
         task.machine.touch()
         if not task.machine.tasks:
