The planner does not rest longer while a replica waits for room

On its half core a cycle of a small fleet lasts long enough for a rest of 0.3 s, and a service that waits for a boot to end may miss its 6 s by that.

Change: after a plan in which a replica waits, the next cycle comes after the short pause.

--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -92,6 +92,7 @@
         self._tasks: list[asyncio.Task] = []
         self._wake = asyncio.Event()
         self._hurry = asyncio.Event()
+        self._replicas_wait = False  # for room, by the last plan: each cycle may find some
         self.picture.on_urgent = self._hurry.set
         self.picture.on_ending = self.batcher.flush_soon
         self._last_plan = 0.0
@@ -217,7 +218,8 @@
             if self._may_decide(began) and self.loaded:
                 self._step(began)
                 took = steady() - began
-                pause, rest = pause_s(took), rest_s(took)
+                pause = pause_s(took)
+                rest = pause if self._replicas_wait else rest_s(took)
                 if took > 0.1:
                     log.debug("a cycle took %.0f ms", took * 1000)
             elif self.loaded and self.ends_only():
@@ -350,6 +352,8 @@
                      plan.waiting.get(plan.too_large, ""))
         for ref, why in plan.waiting.items():
             log.debug("%s waits: %s", ref, why)
+        self._replicas_wait = any(job.kind is Kind.SERVICE for ref in plan.waiting
+                                  if (job := picture.jobs.get(ref)) is not None)
         for rental in merge_rentals(plan.rentals):
             self.inventory.rent(rental)
         self.leaving.return_idle(plan.spare, now)
