--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -24,19 +24,37 @@
 def test_an_idle_connection_is_closed_and_one_in_use_is_not():
     async def scenario() -> None:
         server = CountingServer(web.Application([("/", Hello)], log_function=lambda handler: None),
-                                idle_connection_timeout=0.4)
+                                idle_connection_timeout=75.0)
         sock, port = bind_unused_port()
         server.add_sockets([sock])
         idle, _ = await asyncio.open_connection("127.0.0.1", port)
+        while len(server.seen) < 1:
+            await asyncio.sleep(0)
+        (first,) = server.seen
         used, writer = await asyncio.open_connection("127.0.0.1", port)
-        ended = asyncio.ensure_future(idle.read())
-        while not ended.done():
+
+        async def ask() -> bytes:
             writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
-            assert (await used.readuntil(b"hello")).startswith(b"HTTP/1.1 200")
-            await asyncio.sleep(0.02)
-        assert ended.result() == b"" and server.open == 1 and len(server.seen) == 1
-        assert await asyncio.wait_for(used.read(), 10.0) == b""  # it is idle by now as well
+            return await used.readuntil(b"hello")
+        assert (await ask()).startswith(b"HTTP/1.1 200") and server.open == 2
+        armed = server._sweep
+        assert armed is not None and 0.0 < armed.when() - asyncio.get_running_loop().time() <= 15.0
+        server._close_idle()  # both are younger than that
+        assert server.open == 2 and (await ask()).startswith(b"HTTP/1.1 200")
+        server.seen[first] -= 75.0
+        server._close_idle()
+        assert await idle.read() == b"" and (await ask()).startswith(b"HTTP/1.1 200")
+        assert server.open == 1 and first not in server.seen and server._sweep is not None
+        # A request begun counts as use.
+        (second,) = server.seen
+        old = server.seen[second] = server.seen[second] - 75.0
+        assert (await ask()).startswith(b"HTTP/1.1 200")
+        while server.seen[second] == old:
+            await asyncio.sleep(0)
+        server._close_idle()
+        assert (await ask()).startswith(b"HTTP/1.1 200")
         server.stop()
+        server._sweep.cancel()
     asyncio.run(scenario())
 
 
