--- a/winglift/api/front.py
+++ b/winglift/api/front.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from functools import partial
 
 from tornado import httputil, web
 from tornado.http1connection import HTTP1Connection
@@ -57,7 +56,7 @@
         if isinstance(answer, tuple):
             self._answer(answer)
         else:
-            answer.add_done_callback(partial(_Request._answer_late, self))
+            answer.add_done_callback(self._answer_late)
 
     def on_connection_close(self) -> None:
         if self.other is not None:
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -60,7 +60,7 @@
     def leader(self, now: float) -> Peer | None:
         found: Peer | None = None
         for peer in self.peers.values():
-            if peer.heard is not None and peer.heard.leads and now - peer.heard_at < c.PEER_FRESH_S and (
+            if peer.heard is not None and peer.heard.leads and peer.fresh(now) and (
                     found is None or found.heard is None or peer.heard.term > found.heard.term):
                 found = peer
         return found
@@ -217,18 +217,21 @@
             if peer.waiting.pop(number, None) is not None:
                 done(None)
             return
+        self._sweep_later()
+
+    def _sweep_later(self) -> None:
         if not self._sweeping:
             self._sweeping = True
             asyncio.get_running_loop().call_later(c.RELAY_SWEEP_S, self._sweep)
 
     def _sweep(self) -> None:
         """Reports that were handed over too long ago get no answer."""
+        self._sweeping = False
         now = steady()
         for peer in self.peers.values():
             self._give_up(peer, now)
-        self._sweeping = any(peer.waiting for peer in self.peers.values())
-        if self._sweeping:
-            asyncio.get_running_loop().call_later(c.RELAY_SWEEP_S, self._sweep)
+        if any(peer.waiting for peer in self.peers.values()):
+            self._sweep_later()
 
     @staticmethod
     def _give_up(peer: Peer, now: float) -> None:
--- a/winglift/net/outside.py
+++ b/winglift/net/outside.py
@@ -105,8 +105,7 @@
     def handle_stream(self, stream: IOStream, address: tuple) -> None:
         self.open += 1
         super().handle_stream(stream, address)
-        if self._sweep is None and self.idle_s < math.inf:
-            self._sweep = asyncio.get_running_loop().call_later(self.idle_s / 5, self._close_idle)
+        self._sweep_later()
 
     def start_request(self, server_conn: object, request_conn: Any) -> Any:
         self.seen[server_conn] = time.monotonic()
@@ -117,6 +116,10 @@
         self.seen.pop(server_conn, None)
         super().on_close(server_conn)
 
+    def _sweep_later(self) -> None:
+        if self._sweep is None and self.open and self.idle_s < math.inf:
+            self._sweep = asyncio.get_running_loop().call_later(self.idle_s / 5, self._close_idle)
+
     def _close_idle(self) -> None:
         """Nobody answers so late, so a connection whose last request was awaited that long ago is idle."""
         self._sweep = None
@@ -124,8 +127,7 @@
         for server_conn, when in list(self.seen.items()):
             if when < before:
                 server_conn.stream.close()  # type: ignore[attr-defined]
-        if self.open:
-            self._sweep = asyncio.get_running_loop().call_later(self.idle_s / 5, self._close_idle)
+        self._sweep_later()
 
 
 class _Streams(TCPServer):
--- a/winglift/policy/reserve.py
+++ b/winglift/policy/reserve.py
@@ -4,6 +4,7 @@
 
 import math
 from collections.abc import Iterable, Sequence
+from operator import attrgetter
 
 import msgspec
 
@@ -93,11 +94,8 @@
         """Keep room warm, and rent what is missing of it."""
         board = self.board
         # Machines in use first: an empty one is kept only if they are not enough.
-        used = [r for r in board.up if not r.empty]
-        empty = [r for r in board.up if r.empty]
-        coming = sorted(board.coming, key=lambda r: (r.empty, r.ready_in))
-        left, per_zone = self._missing(reserve, used + [r for r in coming if not r.empty] + empty
-                                       + [r for r in coming if r.empty], keep=True)
+        rooms = sorted(board.up + board.coming, key=attrgetter("empty", "ready_in"))
+        left, per_zone = self._missing(reserve, rooms, keep=True)
         spec = reserve.spec
         while left > 0 and board.snap.may_rent:
             need = self._need(spec)
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -70,7 +70,7 @@
         while due and free >= 1 and len(self._running) < parallel:
             free -= self._send(due, min(self.most_ops, free))
         if due or left:
-            self._timer = asyncio.get_running_loop().call_later(c.FLUSH_AGAIN_S, self.flush)
+            self.flush_soon()
 
     def flush_soon(self) -> None:
         """Write what is due without waiting for the next cycle."""
