Reread: what may yield is kept once, its GPUs are a part of it

Need: a machine's load and a room held the GPUs that may yield and, beside them, the CPUs, GPUs and memory that may yield: the first could be derived from the second, and rooms that tests make had a second way to add them up.

Change: one field, filled in one place each for machines and for listed victims.

--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -265,7 +265,7 @@
                   (load.soon_cpus, load.soon_gpus, load.soon_memory_gb))
         room.images, room.held, room.fetches, room.empty = load.images, load.held, load.fetches, not machine.tasks
         room.replicas, room.fixed, room.yields = load.replicas, load.fixed, load.yields
-        room.yield_gpus, room.gives = load.yield_gpus, load.gives
+        room.gives = load.gives
         self._rooms[machine.name] = load, room, machine
         return room
 
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -17,6 +17,8 @@
 from .machine import MachineEvent, MachineState
 from .task import PRESENT, TaskEvent, TaskState, next_state
 
+Sizes = tuple[float, float, float]  # CPUs, GPUs, GB of memory
+
 
 @dataclass(slots=True, eq=False)
 class Job:
@@ -166,9 +168,7 @@
     stopping: dict[str, tuple[float, float]]  # team: CPUs and GPUs of tasks being stopped
     replicas: int  # running parts of services
     yields: int  # tasks that could be stopped to make room
-    yield_gpus: tuple[float, float, float]  # their GPUs: of rank 0, up to rank 1, up to rank 2
-    # what they take, CPUs, GPUs and memory: the same ranks
-    gives: tuple[tuple[float, float, float], tuple[float, float, float], tuple[float, float, float]]
+    gives: tuple[Sizes, Sizes, Sizes]  # what they take: of rank 0, up to rank 1, up to rank 2
     fixed: int  # the others
     images: frozenset[str]  # that it holds or fetches
     held: frozenset[str]  # that it holds
@@ -240,8 +240,7 @@
             else:
                 fixed += 1
         return Load(cpus, gpus, memory, soon_cpus, soon_gpus, soon_memory, stopping, replicas, yields,
-                    (by_rank[0][1], by_rank[1][1], by_rank[2][1]), (by_rank[0], by_rank[1], by_rank[2]), fixed,
-                    frozenset(images),
+                    (by_rank[0], by_rank[1], by_rank[2]), fixed, frozenset(images),
                     frozenset(self.images), len(coming))
 
     def move(self, event: MachineEvent) -> MachineState:
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -45,7 +45,7 @@
         skip = {room.name for room in but}
         found = 0.0
         for room in rooms:
-            if room.name not in skip and room.yield_gpus[0] > 0:
+            if room.name not in skip and room.gives[0][1] > 0:
                 room.look()
                 found += sum(v.gpus for v in room.victims if v.rank == 0 and not v.within and v.team in self._borrowers
                              and (v.ref, v.index) not in self.stopped)
@@ -64,7 +64,7 @@
         if not reach:
             return [r for r in rooms if r.yields and r.gpus + r.soon_gpus >= least and need.allows(r)]
         return [r for r in rooms
-                if r.yields and r.gpus + r.soon_gpus + r.yield_gpus[reach - 1] >= least and need.allows(r)]
+                if r.yields and r.gpus + r.soon_gpus + r.gives[reach - 1][1] >= least and need.allows(r)]
 
     def hopes(self, need: Need, rooms: Iterable[Room]) -> bool:
         """Without looking at any task: might room be made somewhere?"""
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -6,11 +6,12 @@
 from dataclasses import dataclass, field
 
 from .. import constants as c
+from ..model.entities import Sizes
 from ..model.teams import EPS, Ledger
 from ..wire.cloud import MachineType
 from ..wire.users import Priority, Submission
 
-Amounts = tuple[float, float, float]  # CPUs, GPUs, GB of memory
+NOTHING: Sizes = (0.0, 0.0, 0.0)
 
 
 def claim(priority: Priority, within: bool) -> tuple[bool, bool, int]:
@@ -82,7 +83,7 @@
     replicas: int = 0  # movers, known without looking
     fixed: int = 0  # tasks on it that can't be moved
     yields: int = -1  # victims, known without looking; -1: those that are listed
-    yield_gpus: tuple[float, float, float] = (0.0, 0.0, 0.0)  # GPUs of victims of rank 0, up to 1 and up to 2
+    gives: tuple[Sizes, Sizes, Sizes] = (NOTHING, NOTHING, NOTHING)  # of victims of rank 0, up to 1 and up to 2
     source: Callable[[], tuple[list[Victim], list[Mover]]] | None = None
     soon_cpus: float = 0.0  # room of tasks being stopped
     soon_gpus: float = 0.0
@@ -91,7 +92,6 @@
     kept_for: str = ""  # the gang for which its room is being made: only work of higher priority takes of it meanwhile
     kept_rank: int = 0  # its priority
     stamp: int = 0  # changes whenever its room does
-    gives: tuple[Amounts, Amounts, Amounts] | None = None  # what victims of rank 0, up to 1 and up to 2 would free
     looked: bool = False  # `source` was asked
     touched: bool = False  # it is no longer what it was made as, but for a look: the next cycle makes it so again
 
@@ -99,8 +99,11 @@
         if self.yields < 0:
             self.yields = len(self.victims)
             self.replicas = len(self.movers)
-            ranks = [sum(v.gpus for v in self.victims if v.rank <= most) for most in range(3)]
-            self.yield_gpus = (ranks[0], ranks[1], ranks[2])
+            self.gives = (self._below(1), self._below(2), self._below(3))
+
+    def _below(self, rank: int) -> Sizes:
+        found = [v for v in self.victims if v.rank < rank]
+        return sum(v.cpus for v in found), sum(v.gpus for v in found), sum(v.memory_gb for v in found)
 
     def look(self) -> None:
         if self.source is not None and not self.looked:
@@ -112,20 +115,15 @@
         if self.looked:
             self.victims, self.movers, self.looked = [], [], False
 
-    def free(self, cpus: float, gpus: float, memory_gb: float, soon: Amounts) -> None:
+    def free(self, cpus: float, gpus: float, memory_gb: float, soon: Sizes) -> None:
         """What is free at the beginning of a cycle, and what will be once its stops are through; nobody holds it."""
         self.cpus, self.gpus, self.memory_gb = cpus, gpus, memory_gb
         self.soon_cpus, self.soon_gpus, self.soon_memory_gb = soon
         self.kept_for, self.kept_rank, self.stamp, self.touched = "", 0, 0, False
 
-    def may_give(self, rank: int) -> Amounts:
+    def may_give(self, rank: int) -> Sizes:
         """What would become free if all its victims below this rank stopped: without a look at each of them."""
-        if rank <= 0 or not self.yields:
-            return 0.0, 0.0, 0.0
-        if self.gives is not None:
-            return self.gives[rank - 1]
-        below = [v for v in self.victims if v.rank < rank]
-        return sum(v.cpus for v in below), sum(v.gpus for v in below), sum(v.memory_gb for v in below)
+        return self.gives[rank - 1] if rank > 0 else NOTHING
 
     def keep_for(self, ref: str, rank: int) -> None:
         """Only work of higher priority takes of it from now on, and that job."""
