--- a/standins/scene.py
+++ b/standins/scene.py
@@ -10,11 +10,12 @@
 
 from winglift.config import settings as conf
 from winglift.duties import page
-from winglift.net.client import Unanswered
+from winglift.net.client import Reply, Unanswered
 from winglift.node import Node
 
 from . import cloud, state
 from .__main__ import TEMPLATE
+from .history import Told
 from .worker import Worker
 from .world import Host, Network
 
@@ -36,6 +37,7 @@
         self.nodes: dict[str, tuple[Host, Node]] = {}
         self.accepted: set[str] = set()
         self.ended: dict[str, str] = {}  # job: the end that a user was told
+        self.history: list[Told] = []  # every answer that a user was given
         self.services = Host(self.net, "services", "")
         self.users = Host(self.net, "users", "")
         self.state, controllers = state.StateService(), [(f"node-{i}", f"{a}:8080")
@@ -122,21 +124,34 @@
 
     async def _ask(self, method: str, path: str, body: dict[str, Any] | None, end: float) -> dict[str, Any] | None:
         """As users do: at another node after each failure."""
-        data = json.dumps(body).encode() if body is not None else None
         while self.loop.now < end:
             self._number += 1
-            address = self.addresses[self._number % len(self.addresses)]
-            try:
-                reply = await self.users.client(address, 8080).request(method, path, data, 5.0)
-                if reply.status in (200, 201):
-                    return json.loads(reply.body)
-                if reply.status in (400, 404, 422):
-                    self.broken.append(f"forgotten: {method} {path} got {reply.status} {reply.body[:80]!r}")
-            except Unanswered:
-                pass
+            reply = await self._ask_once(self.addresses[self._number % len(self.addresses)], method, path, body)
+            if reply is not None and reply.status in (200, 201):
+                return json.loads(reply.body)
+            if reply is not None and reply.status in (400, 404, 422):
+                self.broken.append(f"forgotten: {method} {path} got {reply.status} {reply.body[:80]!r}")
             await asyncio.sleep(1.0)
         return None
 
+    async def _ask_once(self, address: str, method: str, path: str, body: dict[str, Any] | None) -> Reply | None:
+        """One question to one node. Every answer is kept in the history."""
+        asked = self.loop.now
+        try:
+            data = json.dumps(body).encode() if body is not None else None
+            reply = await self.users.client(address, 8080).request(method, path, data, 5.0)
+        except Unanswered:
+            return None
+        ref = (body or {}).get("ref") or path.split("/")[2]
+        what = "status" if method == "GET" else "cancel" if path.endswith("/abort") else "submit"
+        status = json.loads(reply.body)["status"] if reply.status in (200, 201) else ""
+        self.history.append(Told(ref, what, address, asked, self.loop.now, reply.status, status))
+        return reply
+
+    def copy(self, number: int, method: str, path: str, body: dict[str, Any] | None = None) -> None:
+        """A copy of a user's request reaches this node; its answer is heard, and nothing is tried again."""
+        self.users.run(self._ask_once(self.addresses[number], method, path, body))
+
     def submit(self, ref: str, **changes: Any) -> None:
         async def ask() -> None:
             if await self._ask("POST", "/work", {"ref": ref, **JOB, **changes}, self.loop.now + 60.0) is not None:
@@ -185,6 +200,11 @@
             if change.get("write") == page.BOOK:
                 for name in page.unpack_names(change["v"].get("d", "")):
                     self._intended.setdefault(name, self.loop.now)
+            before = self.state.keys.get(change.get("write") or change.get("drop") or "")
+            if before is not None and str(change.get("write") or change["drop"]).startswith("job/"):
+                old, new = before[0].get("o", "o"), change.get("v", {}).get("o", "o")
+                if old != "o" and new != old:
+                    self.broken.append(f"an end was replaced: {change} over {old} at {self.loop.now:.2f}")
         return self._apply(changes)
 
     def _deleting(self, names: list[str]) -> None:
--- /dev/null
+++ b/tests/test_finals.py
@@ -0,0 +1,349 @@
+"""An end that a user was told is never taken back: by no writer, after no end of a process, at no point.
+
+Several nodes in simulated time. A job's last task ends, its user cancels it at another node, both are asked again; at
+the leader's write of the end, and at each step of the election that follows, processes end and are back at once.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import pathlib
+import re
+
+import msgspec
+import pytest
+from helpers import TYPE, simulated, spec
+from helpers import settings as conf
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from standins.history import Told, contradictions
+from standins.scene import JOB, Scene
+from standins.world import Host, Message, Network
+from winglift.api.jobs import Jobs, NotNow
+from winglift.model import records
+from winglift.model.entities import Job
+from winglift.model.job import JOB_TRANSITIONS, JobEvent, JobState
+from winglift.model.leadership import Role
+from winglift.model.machine import MachineState
+from winglift.model.picture import Picture
+from winglift.model.recorded import _end as take_end
+from winglift.model.recorded import apply_record, committed
+from winglift.store.batcher import pack
+from winglift.store.client import Health, Unknown
+from winglift.store.election import Election
+from winglift.wire import state as wire
+
+
+class Play:
+    """One job of two tasks that end at some 15 s. Its user cancels `when` s after the leader first sends the end."""
+
+    def __init__(self, write: str, fault: str, back_s: float, when: float, step: int = 0) -> None:
+        self.scene = scene = Scene(3, boot_s=2.0, run_s=6.0, lag_s=3.0)
+        self.write, self.fault, self.back_s, self.when, self.step = write, fault, back_s, when, step
+        self.sent_at: float | None = None
+        self.failed = False
+        self.steps = 0  # requests of the election after the fault
+        scene.net.loss = 0.0
+        scene.net.watch = self._watch
+        scene.start_all()
+        scene.loop.run(3.0)
+        scene.submit("wk-1")
+        scene.loop.run(lambda: self.sent_at is not None, 60.0)
+        assert self.sent_at is not None
+        scene.loop.run(self.sent_at + 12.0)
+        self._deliver()
+        scene.loop.run(self.sent_at + 30.0)
+        for number in range(3):
+            scene.copy(number, "GET", "/work/wk-1")
+            scene.copy(number, "POST", "/work", {"ref": "wk-1", **JOB})
+        scene.loop.run(scene.loop.now + 4.0)
+        assert scene.all_end(["wk-1"], 30.0)
+        self.broken = contradictions(scene.history) + scene.broken
+
+    def _deliver(self) -> None:
+        for arrive in self.scene.net.kept:
+            arrive()
+        self.scene.net.kept.clear()
+
+    def _leads(self, name: str) -> bool:
+        key = self.scene.state.keys.get("leader")
+        return key is not None and key[0]["node"] == name
+
+    def _watch(self, message: Message) -> str | float | None:
+        scene = self.scene
+        if message.what == "POST /commit" and b'"o":"d"' in message.body and self._leads(message.source):
+            if self.sent_at is None:
+                self.sent_at = scene.loop.now
+                self._users()
+                if self.fault and not self.step:
+                    scene.later(0.0, self._fail)
+                    return None if self.write == "in time" else "hold"
+            if scene.loop.now < self.sent_at + 4.0:
+                return {"in time": None, "late": "hold", "lost": "drop", "twice": 3.0}[self.write]
+        if self.failed and self.step and message.what in ("POST /grants", "GET /store/leader", "GET /store/term"):
+            self.steps += 1
+            if self.steps == self.step:
+                scene.later(0.0, self._end, message.source)
+        return None
+
+    def _users(self) -> None:
+        scene, rival = self.scene, 2 if self._leads("node-1") else 1
+        for after in (self.when, self.when + 0.3, self.when + 7.0):
+            scene.later(after, scene.copy, rival, "POST", "/work/wk-1/abort", {})
+            scene.later(after + 0.05, scene.copy, 0, "POST", "/work", {"ref": "wk-1", **JOB})
+        for number in range(24):
+            scene.later(0.4 * number, scene.copy, number % 3, "GET", "/work/wk-1")
+        if self.fault and self.step:
+            scene.later(0.0, self._fail)
+
+    def _fail(self) -> None:
+        self.failed = True
+        for name in list(self.scene.nodes):
+            if self.fault == "all end" or self._leads(name):
+                self._end(name)
+
+    def _end(self, name: str) -> None:
+        if name in self.scene.nodes:
+            self.scene.crash(name)
+            self.scene.later(self.back_s, self.scene.start, int(name[-1]))
+
+
+WRITES = ("in time", "late", "lost", "twice")
+WHENS = (-0.002, 0.0, 0.5, 2.0)
+
+
+@pytest.mark.parametrize("write", WRITES)
+def test_an_end_in_memory_a_cancellation_and_repeats(write):
+    for when in WHENS:
+        play = Play(write, "", 0.0, max(0.0, when))
+        assert not play.broken, (write, when)
+
+
+@pytest.mark.parametrize("write", WRITES)
+@pytest.mark.parametrize("fault", ["the leader ends", "all end"])
+def test_processes_end_at_the_write_of_an_end_and_are_back_at_once(write, fault):
+    for back_s, when in itertools.product((0.05, 0.5), (0.0, 2.0)):
+        play = Play(write, fault, back_s, when)
+        assert not play.broken, (write, fault, back_s, when)
+
+
+@pytest.mark.parametrize("step", range(1, 9))
+def test_processes_end_at_each_step_of_the_election_that_follows(step):
+    for fault, back_s in itertools.product(("the leader ends", "all end"), (0.05, 0.3)):
+        play = Play("late", fault, back_s, 0.5, step)
+        assert not play.broken, (fault, back_s, step)
+
+
+# -- many restarts at once, generated ----------------------------------------------------------
+
+ACTS = ("end", "end all", "cancel", "copy", "ask", "hold", "deliver", "outage")
+
+
+@settings(max_examples=30)
+@given(st.integers(0, 1000), st.lists(st.tuples(st.sampled_from(ACTS), st.integers(0, 5), st.floats(0.05, 0.5)),
+                                      min_size=12, max_size=30))
+def test_no_answer_is_taken_back_on_a_day_of_many_restarts(seed, course):
+    scene = Scene(3, seed, boot_s=2.0, run_s=5.0, lag_s=3.0)
+    held = [False]
+    scene.net.watch = lambda m: "hold" if held[0] and m.what == "POST /commit" else None
+    scene.start_all()
+    scene.loop.run(3.0)
+    refs = [f"wk-{n}" for n in range(6)]
+    for ref in refs:
+        scene.submit(ref)
+    scene.loop.run(8.0)
+
+    def end(number: int, back_s: float) -> None:
+        if f"node-{number}" in scene.nodes:
+            scene.crash(f"node-{number}")
+            scene.later(back_s, scene.start, number)
+
+    def down(value: bool) -> None:
+        scene.state.down = value
+
+    def deliver() -> None:
+        held[0] = False
+        for arrive in scene.net.kept:
+            arrive()
+        scene.net.kept.clear()
+    for act, number, back_s in course:
+        ref, node = refs[number], number % 3
+        if act == "end":
+            end(node, back_s)
+        elif act == "end all":
+            for n in range(3):
+                end(n, back_s * (n + 1))
+        elif act == "cancel":
+            scene.copy(node, "POST", f"/work/{ref}/abort", {})
+            scene.copy((node + 1) % 3, "POST", "/work", {"ref": ref, **JOB})
+        elif act == "copy":
+            scene.later(back_s, scene.copy, node, "POST", "/work", {"ref": ref, **JOB})
+        elif act == "hold":
+            held[0] = True
+        elif act == "deliver":
+            deliver()
+        elif act == "outage":
+            down(True)
+            scene.later(4.0 * back_s, down, False)
+        for n in range(3):
+            scene.later(back_s, scene.copy, n, "GET", f"/work/{ref}")
+        scene.loop.run(scene.loop.now + 3 * back_s)
+    deliver()
+    scene.loop.run(scene.loop.now + 15.0)
+    assert scene.all_end(sorted(scene.accepted), 120.0)
+    assert contradictions(scene.history) + scene.broken == []
+
+
+# -- the guards are needed ---------------------------------------------------------------------
+
+
+def test_a_change_that_takes_back_an_end_cannot_be_made():
+    ended = records.JobRecord(submitted=0.0, spec=spec(), state="c", cancelled=1.0)
+    for recorded, state in itertools.product((JobState.DONE, JobState.CANCELLED), "odc"):
+        record = msgspec.structs.replace(ended, state=state)
+        if state == recorded.value:
+            condition, put = records.change("wk-1", 7, recorded, record)
+            assert (condition.key, condition.version, put.value) == ("job/wk-1", 7, record)
+        else:
+            with pytest.raises(records.EndIsFinal):
+                records.change("wk-1", 7, recorded, record)
+    with pytest.raises(records.BadRecord):
+        records.change("wk-1", 7, JobState.OPEN, msgspec.structs.replace(ended, state=JobState.ENDING.value))
+    # No other place makes one: each change of a job's record is built there.
+    source = {path: path.read_text() for path in pathlib.Path("winglift").rglob("*.py")}
+    assert [str(p) for p, text in source.items() if re.search(r"Put\((job_)?(records\.)?JOB", text)] == [
+        "winglift/model/records.py"]
+
+
+def test_a_recorded_end_has_no_way_out():
+    for state, event in itertools.product((JobState.DONE, JobState.CANCELLED), JobEvent):
+        assert (state, event) not in JOB_TRANSITIONS
+    assert {way for way, to in JOB_TRANSITIONS.items() if to is JobState.CANCELLED} == {
+        (JobState.OPEN, JobEvent.RECORD_CANCELLED), (JobState.ENDING, JobEvent.RECORD_CANCELLED)}
+
+
+def leading() -> tuple[Picture, Job]:
+    """A job of two tasks, one of which holds a place that is recorded."""
+    picture = Picture(conf(), {"g4": TYPE}, 1)
+    job = apply_record(picture, "wk-1", 5, records.fresh(spec("wk-1"), 0.0), 0.0)
+    assert job is not None
+    machine = picture.adopt("vm-1", "g4", "a", False, 0.0, None)
+    machine.state = MachineState.UP
+    assert picture.propose(job, [(0, machine)], 0.0)
+    committed(picture, job, 6, pack(job), 0.0)
+    return picture, job
+
+
+def test_a_picture_that_is_out_of_date_takes_over_no_version_to_write_with():
+    picture, job = leading()
+    record = msgspec.structs.replace(pack(job), state="c", cancelled=1.0, places=[("vm-2", 9, "0")])
+    apply_record(picture, "wk-1", 8, record, 1.0)
+    assert picture.superseded and job.version == 6 and job.recorded[0] == ("vm-1", 1)
+
+
+@pytest.mark.parametrize("recorded", ["d", "c"])
+def test_a_recorded_end_goes_before_what_the_leader_has_seen(recorded):
+    picture, job = leading()
+    job.move(JobEvent.COMPLETE)
+    job.mark(1)
+    apply_record(picture, "wk-1", 7, msgspec.structs.replace(pack(job), state=recorded, cancelled=1.0), 1.0)
+    assert job.state is JobState(recorded) and pack(job).state == recorded
+
+
+def test_a_leader_record_of_an_earlier_life_is_not_taken_for_the_own_one():
+    class State:
+        async def grant(self, ttl_s):
+            return 2
+
+        async def get(self, key, urgent=False):
+            if key == records.TERM:
+                return None
+            return wire.Item(key, msgspec.Raw(b'{"term":1,"node":"node-0"}'), 9, self.lease)
+
+        async def commit(self, txn, urgent=False):
+            raise Unknown("no answer")
+
+        def set_leading(self, leads):
+            pass
+
+    async def scenario(lease: int) -> Role:
+        state = State()
+        state.lease = lease
+        election = Election(state, "node-0", lambda: None)
+        await election._campaign()
+        return election.me.role
+    assert simulated(scenario(2)) is Role.LEADER
+    assert simulated(scenario(1)) is Role.FOLLOWER
+
+
+@pytest.mark.parametrize("slow_s", [0.1, 4.0])
+def test_a_node_that_stood_still_tells_nothing_that_it_read_before(slow_s):
+    """While it stood still another node may have told the user something newer."""
+    class State:
+        keys: dict = {}
+
+        def follower_share(self):
+            return 0.2
+
+        def health(self):
+            return Health.GOOD
+
+        async def list(self, prefix):
+            return [], 1
+
+        async def changes(self, prefix, after, block_ms=0):
+            return wire.Changes(1, [])
+
+        async def get(self, key, timeout=0.0):
+            record = records.fresh(spec("wk-000001"), 0.0)
+            await asyncio.sleep(slow_s)
+            return wire.Item(key, msgspec.Raw(records.encode(record)), 5)
+
+        async def commit(self, txn, timeout=0.0):
+            await asyncio.sleep(slow_s)
+            return wire.Committed(5)
+
+    async def scenario() -> None:
+        jobs = Jobs(conf(), State(), lambda: {"g4": TYPE}, lambda *args: None)
+        for call in (lambda: jobs.status("wk-000001"), lambda: jobs.submit(spec("wk-000002"))):
+            if slow_s > 1.0:
+                with pytest.raises(NotNow):
+                    await call()
+            else:
+                assert await call() is not None
+    net = Network()
+    task = Host(net, "node", "a").context.run(net.loop.create_task, scenario())
+    assert net.loop.run(task.done)
+    task.result()
+
+
+@pytest.mark.parametrize("guard", ["the record goes first", "the one place"])
+def test_without_the_guards_an_end_is_taken_back(guard, monkeypatch):
+    """Either of the two alone keeps the end that the user was told."""
+    if guard == "the record goes first":
+        monkeypatch.setattr("winglift.model.recorded._end", lambda job, loaded: job.is_open and take_end(job, loaded))
+        play = Play("lost", "", 0.0, 0.5)
+        assert not play.broken  # the one place where changes are made has refused it
+        monkeypatch.setattr(records, "EndIsFinal", type("Never", (Exception,), {}))
+    whole = records.change
+    monkeypatch.setattr(records, "change", lambda ref, version, recorded, record: whole(
+        ref, version, JobState.OPEN, record))
+    play = Play("lost", "", 0.0, 0.5)
+    assert bool(play.broken) is (guard == "the record goes first")
+
+
+def test_contradictions_are_found_in_histories_that_hold_one_each():
+    def told(what: str, asked: float, status: str = "", code: int = 200, after: float = 0.1) -> Told:
+        return Told("wk-1", what, "n", asked, asked + after, code, status)
+    begin, cancel = told("submit", 0.0, "queued", 201), told("cancel", 2.0, "aborted")
+    sound = [begin, told("status", 1.95, "running", after=1.0), cancel, told("submit", 3.0, "aborted"),
+             told("status", 0.0, code=404, after=0.2)]
+    assert contradictions(sound) == []
+    for wrong in ([begin, cancel, told("status", 3.0, "running")], [begin, cancel, told("status", 3.0, "done")],
+                  [begin, told("status", 1.0, "aborted")], [begin, told("status", 1.0, code=404)],
+                  [begin, told("submit", 1.0, code=422)],
+                  [begin, told("status", 1.0, "done"), told("submit", 2.0, "done", 201)],
+                  [begin, told("status", 1.0, "done"), cancel]):
+        assert len(contradictions(wrong)) >= 1, wrong
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -11,7 +11,7 @@
 from ..model import records
 from ..model.job import JobState
 from ..model.teams import exceeds_limit
-from ..net.outside import wall
+from ..net.outside import steady, wall
 from ..store.client import Health, LeaseGone, Refused, StateClient, Unknown
 from ..store.mirror import Mirror
 from ..wire import state as wire
@@ -122,9 +122,10 @@
         record = records.fresh(spec, wall())
         if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * 0.6:
             raise NeverRuns("the description is too long to be kept")
-        txn = wire.Transaction([wire.Condition(records.JOB + spec.ref, 0)], [wire.Put(records.JOB + spec.ref, record)])
+        condition, put = records.change(spec.ref, 0, JobState.OPEN, record)
+        sent = steady()
         try:
-            result = await self.state.commit(txn, timeout=c.SUBMIT_TIMEOUT_S)
+            result = await self.state.commit(wire.Transaction([condition], [put]), timeout=c.SUBMIT_TIMEOUT_S)
         except (Refused, LeaseGone) as err:
             raise self._down(str(err)) from None
         except Unknown as err:
@@ -141,6 +142,9 @@
         # Told only now, after the commit (invariant 4).
         self._mirror.note(spec.ref, result.revision, record)
         self._on_change(spec.ref, result.revision, record)
+        if steady() - sent > c.SUBMIT_TIMEOUT_S + c.LOOK_FRESH_S:
+            # A copy of the request may have been answered elsewhere, and the job be over: it is looked up.
+            raise NotNow("this node stood still")
         return 201, StatusReply(spec.ref, JobStatus.QUEUED)
 
     async def cancel(self, ref: str) -> StatusReply | None:
@@ -153,16 +157,16 @@
                 return None
             record, version = found
             reply = status_of(record, ref)
-            if reply.status in (JobStatus.DONE, JobStatus.CANCELLED):
+            recorded = JobState(record.state)
+            if recorded.final:
                 self.remember_end(ref, reply)
                 return reply
             record.state = JobState.CANCELLED.value
             # Read before the commit, and so before the user is told: whoever leads later counts cancel_s from it.
             record.cancelled = wall()
-            key = records.JOB + ref
-            txn = wire.Transaction([wire.Condition(key, version)], [wire.Put(key, record)])
+            condition, put = records.change(ref, version, recorded, record)
             try:
-                result = await self.state.commit(txn)
+                result = await self.state.commit(wire.Transaction([condition], [put]))
             except Unknown:
                 continue  # read again: it may have been carried out
             except (Refused, LeaseGone) as err:
--- a/winglift/flows/run.py
+++ b/winglift/flows/run.py
@@ -279,8 +279,8 @@
                 await leader.files.describe(part.ref, page // c.FLOW_PAGE, works[page:page + c.FLOW_PAGE])
             leader.near(part.ref, near or None)
             record = job_records.fresh(spec, now)
-            revision = await self._commit([wire.Put(job_records.JOB + part.ref, record)],
-                                          absent=job_records.JOB + part.ref)
+            condition, put = job_records.change(part.ref, 0, JobState.OPEN, record)
+            revision = await self._commit([put], absent=condition.key)
             if revision is not None:
                 leader.take_job(part.ref, revision, record)
                 log.debug("%s: %s is %s, %d tasks", self.ref, leaf.path, part.ref, spec.tasks)
--- a/winglift/model/job.py
+++ b/winglift/model/job.py
@@ -9,19 +9,30 @@
 
 class JobState(Enum):
     OPEN = "o"
+    ENDING = "all done, in no record yet"  # as this leader has seen; a cancellation that is recorded first still wins
     DONE = "d"
     CANCELLED = "c"
 
+    @property
+    def final(self) -> bool:
+        """Ended by its record, for good and for every writer (invariant 4)."""
+        return self in (JobState.DONE, JobState.CANCELLED)
+
 
 class JobEvent(Enum):
-    COMPLETE = "complete"
-    CANCEL = "cancel"
+    COMPLETE = "all tasks have completed"
+    RECORD_DONE = "its record says done"
+    RECORD_CANCELLED = "its record says cancelled"
 
 
-# A job's end is final: neither state has a way out.
+# Only a record ends a job: a leader once called it done in memory, its user cancelled it, and "done" was written over
+# the end that the user had been told. A recorded end has no way out.
 JOB_TRANSITIONS = {
-    (JobState.OPEN, JobEvent.COMPLETE): JobState.DONE,
-    (JobState.OPEN, JobEvent.CANCEL): JobState.CANCELLED,
+    (JobState.OPEN, JobEvent.COMPLETE): JobState.ENDING,
+    (JobState.OPEN, JobEvent.RECORD_DONE): JobState.DONE,
+    (JobState.OPEN, JobEvent.RECORD_CANCELLED): JobState.CANCELLED,
+    (JobState.ENDING, JobEvent.RECORD_DONE): JobState.DONE,
+    (JobState.ENDING, JobEvent.RECORD_CANCELLED): JobState.CANCELLED,
 }
 
 
--- a/winglift/model/records.py
+++ b/winglift/model/records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..wire.state import Condition, Put
 from ..wire.users import Submission
 from .entities import Task
 from .job import DoneSet, JobState
@@ -54,6 +55,23 @@
     """A record that this program did not write."""
 
 
+class EndIsFinal(Exception):
+    """A change that would take back an end which is recorded."""
+
+
+def change(ref: str, version: int, recorded: JobState, record: JobRecord) -> tuple[Condition, Put]:
+    """The one place where a change of a job's record is made, from what it says at this version (0: it is new).
+
+    No transaction can be built that replaces a recorded end by anything else (invariant 4), and the condition lets none
+    replace what its writer has not read.
+    """
+    if recorded.final and record.state != recorded.value:
+        raise EndIsFinal(f"{ref} is recorded as {recorded.name.lower()}")
+    if record.state not in (JobState.OPEN.value, JobState.DONE.value, JobState.CANCELLED.value):
+        raise BadRecord(f"{ref}: {record.state} is no state of a record")
+    return Condition(JOB + ref, version), Put(JOB + ref, record)
+
+
 def pack_ranges(numbers: list[int]) -> str:
     parts: list[str] = []
     start = last = None
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -13,6 +13,7 @@
 from ..duties.duty import Fence
 from ..model import records
 from ..model.entities import Job
+from ..model.job import JobState
 from ..model.picture import START, Picture
 from ..model.recorded import apply_record, committed
 from ..model.task import TaskEvent, TaskState
@@ -27,8 +28,9 @@
 
 def pack(job: Job) -> records.JobRecord:
     low, bits = records.pack_done(job.done)
+    state = JobState.DONE if job.state is JobState.ENDING else job.state
     return records.JobRecord(
-        submitted=job.submitted, spec=job.spec, state=job.state.value, next_attempt=job.next_attempt,
+        submitted=job.submitted, spec=job.spec, state=state.value, next_attempt=job.next_attempt,
         low=low, bits=bits, places=records.pack_places(job.active),
         cancelled=job.cancelled,
     )
@@ -87,6 +89,7 @@
     def _send(self, due: list[Job], most: int) -> int:
         """One transaction with the first of what is due; how many changes it holds."""
         batch: list[tuple[Job, records.JobRecord]] = []
+        changes: list[tuple[wire.Condition, wire.Put]] = []
         size = 0
         while due and len(batch) < most:
             job = due[0]
@@ -95,14 +98,25 @@
             if batch and size + length > MAX_TXN:
                 break
             due.pop(0)
+            try:
+                changes.append(records.change(job.ref, job.version, job.recorded_state, record))
+            except records.EndIsFinal as err:
+                log.error("not written: %s", err)
+                job.dirty = 0
+                continue
             size += length
             batch.append((job, record))
+        if not batch:
+            return 0
         levels = {}
         for job, _ in batch:
             levels[job.ref] = job.dirty
             job.dirty = 0
             job.writing = True
-        task = asyncio.ensure_future(self._write(batch, levels))
+        # Every leader write is conditional on the leadership key at its revision (invariant 1).
+        txn = wire.Transaction([self.fence.condition(), *(condition for condition, _ in changes)],
+                               [put for _, put in changes])
+        task = asyncio.ensure_future(self._write(batch, txn, levels))
         self._running.add(task)
         task.add_done_callback(self._finished)
         return len(batch)
@@ -112,13 +126,10 @@
         if not task.cancelled():
             self.flush()
 
-    async def _write(self, batch: list[tuple[Job, records.JobRecord]], levels: dict[str, int]) -> None:
-        # Every leader write is conditional on the leadership key at its revision (invariant 1).
-        conditions = [self.fence.condition()]
-        conditions += [wire.Condition(records.JOB + j.ref, j.version) for j, _ in batch]
-        changes = [wire.Put(records.JOB + j.ref, record) for j, record in batch]
+    async def _write(self, batch: list[tuple[Job, records.JobRecord]], txn: wire.Transaction,
+                     levels: dict[str, int]) -> None:
         try:
-            result = await self.state.commit(wire.Transaction(conditions, changes), max_wait=3.0)
+            result = await self.state.commit(txn, max_wait=3.0)
         except (Refused, LeaseGone) as err:
             if isinstance(err, Malformed):
                 # The service's limits may be smaller than the settings say: the same batch would never get through.
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -163,7 +163,10 @@
             pass
         except Unknown:
             found = await self.state.get(LEADER, urgent=True)
-            if found is not None and _leader.decode(found.value) == LeaderRecord(term, self.node):
+            # The lease tells it from what this node's earlier life has sent, perhaps with the same term: that one would
+            # end while the lease renewed here is another.
+            if (found is not None and found.lease == lease
+                    and _leader.decode(found.value) == LeaderRecord(term, self.node)):
                 revision = found.version
         if not revision:
             self.me.move(RoleEvent.LOST)
--- a/winglift/store/mirror.py
+++ b/winglift/store/mirror.py
@@ -60,7 +60,10 @@
                 raise Refused("this node stood still")
             if known is not None:
                 return known[1]
+        sent = steady()
         item = await self.state.get(records.JOB + ref, timeout=c.STATUS_TIMEOUT_S)
+        if steady() - sent > c.STATUS_TIMEOUT_S + c.LOOK_FRESH_S:
+            raise Refused("this node stood still")
         return None if item is None else self.note(ref, item.version, records.decode(item.value))
 
     async def _look(self) -> None:
