Whoever confirms a cancellation answers for it, and every node that knows of it

Cause: a cancellation reached the leader by a hint that may be lost, or by its watch, which the state service may refuse it alone; then the service is down for all. A write of the leader without an answer put the word off too. Held already: one node left, nodes one after the other, a start in flight, deaf or mute machines, all distances tried.

The confirming node tells all nodes, acknowledged and repeated; each answers reports with the stop; while no leader that can act has it, machines are told directly and deleted by name in good time through one guarded door. Proofs are shared; the leader takes note of such deletions. Unknown frames no longer end a link (roll-outs). Stand-ins: a node refused alone, late transactions, leases that keep their time in an outage.

The history checker called a job "cancelled by nobody" when its user's cancellation got no answer; what was asked is kept now, so the same rule is judged by all cancellations asked. Fakes of a node in two tests got the new part; no assertion changed.

--- a/standins/scene.py
+++ b/standins/scene.py
@@ -20,6 +20,7 @@
 from .world import Host, Network
 
 HOUR = 3600.0
+CANCEL_S = 35.0
 JOB = {"jobClass": "c", "owner": "team", "shape": "array", "urgency": "normal", "pieces": 2, "cpus": 8.0, "gpus": 1.0,
        "memGb": 8.0, "bundle": "img", "pullGb": 0.1, "samePlace": False, "apart": False, "loaner": True,
        "expectedS": 20.0, "snapshotEveryS": 0.0, "snapshotS": 0.0, "dueS": None}
@@ -37,6 +38,8 @@
         self.nodes: dict[str, tuple[Host, Node]] = {}
         self.accepted: set[str] = set()
         self.ended: dict[str, str] = {}  # job: the end that a user was told
+        self.confirmed: dict[str, float] = {}  # job: when its user was first told that it is cancelled
+        self.late_starts: list[str] = []  # starts of tasks after that: no rule by themselves, and counted
         self.history: list[Told] = []  # every answer that a user was given
         self.services = Host(self.net, "services", "")
         self.users = Host(self.net, "users", "")
@@ -55,7 +58,8 @@
         self.state.apply = self._applying  # type: ignore[method-assign]
         self._number = 0
         self._settings = (TEMPLATE.replace("report_s = 0.2", f"report_s = {report_s}")
-                          .replace("lease_s = 3.0", "lease_s = 10.0").replace("cancel_s = 10.0", "cancel_s = 35.0")
+                          .replace("lease_s = 3.0", "lease_s = 10.0")
+                          .replace("cancel_s = 10.0", f"cancel_s = {CANCEL_S}")
                           .replace("list_lag_s = 0.1", f"list_lag_s = {lag_s}").replace("nodes = 1", f"nodes = {count}")
                           .replace("gpus = 8.0", "gpus = 40.0").replace("gpus_max = 16.0", f"gpus_max = {gpus_max}"))
         self.services.context.run(self.services.serve, state.application(self.state), "10.1.0.1", 80)
@@ -137,15 +141,20 @@
     async def _ask_once(self, address: str, method: str, path: str, body: dict[str, Any] | None) -> Reply | None:
         """One question to one node. Every answer is kept in the history."""
         asked = self.loop.now
+        ref = (body or {}).get("ref") or path.split("/")[2]
+        what = "status" if method == "GET" else "cancel" if path.endswith("/abort") else "submit"
         try:
             data = json.dumps(body).encode() if body is not None else None
             reply = await self.users.client(address, 8080).request(method, path, data, 5.0)
         except Unanswered:
+            # Asked all the same: a cancellation whose answer got lost has not been by nobody.
+            self.history.append(Told(ref, what, address, asked, self.loop.now, 0))
             return None
-        ref = (body or {}).get("ref") or path.split("/")[2]
-        what = "status" if method == "GET" else "cancel" if path.endswith("/abort") else "submit"
         status = json.loads(reply.body)["status"] if reply.status in (200, 201) else ""
         self.history.append(Told(ref, what, address, asked, self.loop.now, reply.status, status))
+        if status == "aborted" and ref not in self.confirmed:
+            self.confirmed[ref] = self.loop.now
+            self.later(CANCEL_S + 0.001, self._must_be_gone, ref)
         return reply
 
     def copy(self, number: int, method: str, path: str, body: dict[str, Any] | None = None) -> None:
@@ -183,8 +192,23 @@
 
     # -- what must not happen ------------------------------------------------------------------
 
+    def on_machines(self, ref: str) -> list[tuple[str, str]]:
+        """Tasks of a job that are on machines, by the workers' own word: task and machine."""
+        return [(name, w.entry["ref"]) for w in self.cloud.workers() for (name, _), task in w.tasks.items()
+                if name.split("/")[0] == ref and task["status"] != "ended"
+                and task["ends"] > self._hosts[w.entry["ref"]].steady()]
+
+    def _must_be_gone(self, ref: str) -> None:
+        for name, machine in self.on_machines(ref):
+            self.broken.append(f"ran_cancelled: {name} on {machine}, cancelled at {self.confirmed[ref]:.2f}")
+
     def _started(self, worker: Worker, what: str, piece: str) -> None:
         now = self.loop.now
+        confirmed = self.confirmed.get(piece.split("/")[0])
+        if confirmed is not None:
+            self.late_starts.append(f"{piece} at {now:.2f}, cancelled at {confirmed:.2f}")
+            if now > confirmed + CANCEL_S:
+                self.broken.append(f"ran_cancelled: {self.late_starts[-1]}")
         for other in self.cloud.workers():
             for (name, _), task in other.tasks.items():
                 if name == piece and other is not worker and task["status"] == "running" and (
--- a/standins/state.py
+++ b/standins/state.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote
 
@@ -20,6 +21,8 @@
         self.history: list[tuple[int, dict[str, Any]]] = []
         self.next_lease = 1
         self.down = False
+        self.refused: set[str] = set()  # nodes that alone get a 503; watches that are open wait on
+        self.late_s: Callable[[], float | None] = lambda: None  # carry the next transaction out so late, unanswered
         self.reads = 0  # single records and looks at the changes that were asked for
         self.lose_answers = 0  # transactions to carry out without answering
         self.changed = asyncio.Condition()
@@ -31,6 +34,10 @@
         await self._notify()
         await asyncio.sleep(0.05)
 
+    def keep(self) -> None:
+        """After an outage every lease has its full time again."""
+        self.leases = {lease: (life, steady() + life) for lease, (life, _) in self.leases.items()}
+
     def expire(self) -> None:
         now = steady()
         for lease in [n for n, (_, until) in self.leases.items() if until < now]:
@@ -84,8 +91,11 @@
         self.service = service
 
     def prepare(self) -> None:
-        self.service.expire()
         if self.service.down:
+            self.service.keep()
+        else:
+            self.service.expire()
+        if self.service.down or self.request.headers.get("X-From") in self.service.refused:
             self.say(503, {"error": "trouble"})
 
     def say(self, status: int, value: dict[str, Any]) -> None:
@@ -116,6 +126,10 @@
 
 class _Commit(_Handler):
     async def post(self) -> None:
+        late = self.service.late_s()
+        if late is not None:
+            asyncio.get_running_loop().call_later(late, self.service.commit, json.loads(self.request.body))
+            await asyncio.Event().wait()
         status, answer = self.service.commit(json.loads(self.request.body))
         if self.service.lose_answers > 0:
             self.service.lose_answers -= 1
--- a/standins/world.py
+++ b/standins/world.py
@@ -302,7 +302,8 @@
 
         def handle() -> None:
             delegate = server.delegate.start_request(object(), _Exchange(back))
-            headers = httputil.HTTPHeaders({"Host": self.address, "Content-Length": str(len(body or b""))})
+            headers = httputil.HTTPHeaders({"Host": self.address, "Content-Length": str(len(body or b"")),
+                                            "X-From": host.name})
             delegate.headers_received(httputil.RequestStartLine(method, path, "HTTP/1.1"), headers)
             if body:
                 delegate.data_received(body)
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -77,8 +77,8 @@
 def test_each_report_that_is_handed_over_is_told_of_exactly_once():
     net = Network()
     host = Host(net, "node-0", "a")
-    link = Link("node-0", [], lambda: None, lambda body: (200, b""), lambda note: None, lambda state: None,
-                lambda node: None)
+    link = Link("node-0", [], lambda: None, lambda body: (200, b""), lambda note: 202, lambda state: None,
+                lambda node: None, lambda node: None, lambda proofs: None)
     peer = link.peers["node-1"] = Peer(Seed("node-1", "a", "10.0.0.2:8081"))
     told: list[tuple[int, float, tuple[int, bytes] | None]] = []
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -51,6 +51,24 @@
     assert texts("/commands") == {"workers/commands.py"}
 
 
+def test_one_door_leads_past_the_fence_and_it_is_asked_last():
+    """Deletions by a node that may not lead: of machines that cancelled jobs' records name, and of nothing else."""
+    assert calls("delete_held") == {"workers/ends.py": 1}
+    uses = {str(p.relative_to(ROOT)) for p in ROOT.rglob("*.py") if ".answerable" in p.read_text()}
+    assert uses == {"cloud/client.py", "node.py"}
+    source = (ROOT / "cloud/client.py").read_text()
+    call = next(n for n in ast.walk(ast.parse(source)) if isinstance(n, ast.AsyncFunctionDef) and n.name == "_call")
+    asked = next(n.lineno for n in ast.walk(call)
+                 if isinstance(n, ast.Call) and isinstance(n.func, ast.Name) and n.func.id == "door")
+    waits = [n.lineno for n in ast.walk(call) if isinstance(n, ast.Await)]
+    sent = next(n.lineno for n in ast.walk(call) if isinstance(n, ast.Attribute) and n.attr == "request")
+    assert max(line for line in waits if line < sent) < asked < sent
+    # Nobody else opens it: the other deletions and rentals pass the default, which is shut.
+    opened = [n for n in ast.walk(ast.parse(source)) if isinstance(n, ast.Call) and isinstance(n.func, ast.Attribute)
+              and n.func.attr == "_call" and len(n.args) + len(n.keywords) > 4]
+    assert len(opened) == 1
+
+
 def test_clocks_and_connections_are_had_in_one_place():
     """Elsewhere a test with several nodes would read the clock of the machine it runs on."""
     for word in ("time.monotonic(", "time.time(", "socket.socket(", "random.Random("):
--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -31,7 +31,8 @@
     link = FakeLink(leader_zone, locals_by_zone)
     own = SimpleNamespace(zone=zone, seeds=settings().seeds, settings=settings().settings)
     node = SimpleNamespace(link=link, controller=None, known_term=lambda: 3, hears_others=lambda: True,
-                           leader_elsewhere=lambda: None, settings=own)
+                           leader_elsewhere=lambda: None, settings=own,
+                           ends=SimpleNamespace(on_report=lambda report: []))
     return Reports(node), link  # type: ignore[arg-type]
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -98,13 +98,31 @@
 
 @given(st.binary(max_size=40))
 def test_noise_on_the_back_link_is_a_bad_frame(data):
-    for parse in (back.parse_header, back.parse_state, back.parse_job, back.parse_answer, back.parse_fleet):
+    for parse in (back.parse_header, back.parse_state, back.parse_job, back.parse_answer, back.parse_fleet,
+                  back.parse_proofs):
         try:
             parse(data)
         except back.BadFrame:
             continue
 
 
+@given(st.lists(st.tuples(st.text(max_size=20), st.text(max_size=20)), max_size=30), st.integers(0, 200))
+def test_proofs_survive_their_frame_and_a_short_one_is_refused(proofs, short):
+    body = back.pack_proofs(proofs)
+    assert back.parse_proofs(body) == proofs
+    if 0 < short < len(body) and proofs:
+        with pytest.raises(back.BadFrame):
+            back.parse_proofs(body[:-short])
+
+
+@given(st.integers(0, 255), st.integers(0, 2**32 - 1), st.integers(0, back.MAX_FRAME))
+def test_a_frame_of_a_later_version_has_a_length_and_no_type(kind, request, length):
+    header = back.parse_header(back.HEADER.pack(back.MAGIC, kind, request, length))
+    assert (header.request, header.length) == (request, length)
+    assert header.type is None or header.type == kind
+    assert (header.type is None) == (kind not in {int(known) for known in back.FrameType})
+
+
 @given(st.sets(st.integers(0, 3000), min_size=1))
 def test_ranges_survive(numbers):
     assert set(records.unpack_ranges(records.pack_ranges(sorted(numbers)))) == numbers
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -61,15 +61,18 @@
 class Jobs:
     def __init__(self, settings: Settings, state: StateClient, types: Callable[[], dict[str, MachineType]],
                  on_change: Callable[[str, int, records.JobRecord], None],
-                 missing: Callable[[], dict[str, MachineType]] = dict) -> None:
+                 missing: Callable[[], dict[str, MachineType]] = dict,
+                 on_seen: Callable[[str, int, records.JobRecord], None] = lambda ref, version, record: None) -> None:
         self.settings = settings
         self.state = state
         self.types = types
         self.missing = missing  # types that the cloud has offered before
         self._on_change = on_change
+        self._on_seen = on_seen  # a record that anybody has committed, as users are told of it here
         self._ends: OrderedDict[str, StatusReply] = OrderedDict()
         looks = settings.settings.state.rps * state.follower_share() * c.LOOK_SHARE
-        self._mirror: Mirror[StatusReply] = Mirror(state, lambda ref, record: status_of(record, ref), 1 / looks)
+        self._mirror: Mirror[StatusReply] = Mirror(state, lambda ref, record: status_of(record, ref), 1 / looks,
+                                                   on_seen)
 
     def remember_end(self, ref: str, reply: StatusReply) -> None:
         """An end never changes, so it may be answered without asking."""
@@ -159,6 +162,9 @@
             reply = status_of(record, ref)
             recorded = JobState(record.state)
             if recorded.final:
+                # Perhaps by this node's own transaction that got no answer, or by a node that ended before it could
+                # tell anybody: who confirms an end answers for it, whoever has written it.
+                self._on_seen(ref, version, record)
                 self.remember_end(ref, reply)
                 return reply
             record.state = JobState.CANCELLED.value
--- a/winglift/cloud/client.py
+++ b/winglift/cloud/client.py
@@ -42,6 +42,8 @@
         self._nodes = nodes
         self.entitled: Callable[[], bool] = lambda: True
         self.may_end: Callable[[], bool] = lambda: False  # in doubt, may it still delete what holds cancelled tasks?
+        # Past the fence: are these machines still to be deleted for cancelled jobs, by a node that may not lead?
+        self.answerable: Callable[[list[str]], bool] = lambda names: False
         self._budget = Budget(limits.rps, limits.rps)
         self._ends_waiting = 0  # deletions for cancelled tasks that wait for their turn: all else waits behind them
         self.set_leading(False)
@@ -56,7 +58,8 @@
         while self._ends_waiting or self._budget.free(steady()) < 1:
             await asyncio.sleep(self._budget.wait_s(steady()) + 0.002)
 
-    async def _call(self, method: str, path: str, body: bytes | None = None, ends: bool = False) -> Reply:
+    async def _call(self, method: str, path: str, body: bytes | None = None, ends: bool = False,
+                    door: Callable[[], bool] = lambda: False) -> Reply:
         self._ends_waiting += ends
         try:
             while (self._ends_waiting and not ends) or not self._budget.take(steady()):
@@ -64,7 +67,7 @@
         finally:
             self._ends_waiting -= ends
         # A node that stood still woke in this queue: what it had decided before is another leader's to decide now.
-        if body is not None and not self.entitled() and not (ends and self.may_end()):
+        if body is not None and not self.entitled() and not (ends and self.may_end()) and not door():
             raise NotEntitled("not entitled to act")
         try:
             reply = await self._http.request(method, path, body, c.CLOUD_TIMEOUT_S)
@@ -106,6 +109,16 @@
         if reply.status != 200:
             raise CloudError(f"cloud: {reply.status} for a deletion")
 
+    async def delete_held(self, names: list[str]) -> None:
+        """The one door past the fence: machines that may hold tasks of cancelled jobs, which nobody else sees to.
+
+        What demands it is committed in the jobs' records, names the machines, and holds whoever leads (invariant 8).
+        """
+        reply = await self._call("POST", "/hosts/delete", msgspec.json.encode(wire.Names(names)), True,
+                                 lambda: self.answerable(names))
+        if reply.status != 200:
+            raise CloudError(f"cloud: {reply.status} for a deletion")
+
     async def list(self) -> list[wire.Listed]:
         found: list[wire.Listed] = []
         after = ""
--- a/winglift/cluster/link.py
+++ b/winglift/cluster/link.py
@@ -28,6 +28,7 @@
     heard_at: float = 0.0
     steady_since: float = 0.0  # heard without a gap since then
     stream: Stream | None = None
+    answers: bool = False  # it has answered a word about a record: one of an earlier version never does
     # Reports handed over: until when an answer is waited for, and who is told; in the order of handing over.
     waiting: dict[int, tuple[float, OnAnswer]] = field(default_factory=dict)
 
@@ -38,8 +39,9 @@
 class Link:
     def __init__(self, node: str, seeds: list[Seed], mine: Callable[[], back.PeerState],
                  on_relay: Callable[[bytes], tuple[int, bytes]],
-                 on_job: Callable[[back.JobNote], None], on_state: Callable[[back.PeerState], None],
-                 on_gone: Callable[[str], None]) -> None:
+                 on_job: Callable[[back.JobNote], int], on_state: Callable[[back.PeerState], None],
+                 on_gone: Callable[[str], None], on_link: Callable[[str], None],
+                 on_proofs: Callable[[list[tuple[str, str]]], None]) -> None:
         self.node = node
         self.peers = {s.node: Peer(s) for s in seeds if s.node != node}
         self._mine = mine
@@ -47,6 +49,8 @@
         self._on_job = on_job
         self._on_state = on_state
         self._on_gone = on_gone
+        self._on_link = on_link  # a connection to this node has been made: it may be another process
+        self._on_proofs = on_proofs
         self._fleet: back.Fleet | bytes = back.Fleet({}, {})  # what a leader last told about its machines,
         self.fleet_at = 0.0  # and when
         self._left_out = 0  # machines whose images did not fit into the last word of them
@@ -97,7 +101,11 @@
                 if header.type is back.FrameType.STATE:
                     self._heard(back.parse_state(body))
                 elif header.type is back.FrameType.JOB:
-                    self._on_job(back.parse_job(body))
+                    status = self._on_job(back.parse_job(body))
+                    if header.request:
+                        stream.write(back.frame(back.FrameType.RELAYED, header.request, back.pack_answer(status, b"")))
+                elif header.type is back.FrameType.PROOFS:
+                    self._on_proofs(back.parse_proofs(body))
                 elif header.type is back.FrameType.FLEET:
                     # Read only by who leads next: at 970 machines reading each word took a tenth of a follower's work.
                     self._fleet, self.fleet_at = body, steady()
@@ -159,7 +167,8 @@
                     stream = await here().connect(host, port)
                 closed = True
                 stream.set_nodelay(True)
-                peer.stream = stream
+                peer.stream, peer.answers = stream, False
+                self._on_link(peer.seed.node)
                 reader = asyncio.ensure_future(self._read_answers(peer, stream))
                 try:
                     while not stream.closed():
@@ -204,15 +213,31 @@
 
         Without a task and a timer of its own: with 400 reports a second they were a sixth of a follower's work.
         """
+        self._ask(peer, back.FrameType.RELAY, report, done)
+
+    def tell_job(self, peer: Peer, note: back.JobNote, done: OnAnswer) -> None:
+        """Tell a node of a record and hear whether it has it: 200, it sees to it as the leader; 202, it knows."""
+        def heard(answer: tuple[int, bytes] | None) -> None:
+            peer.answers = peer.answers or answer is not None
+            done(answer)
+        self._ask(peer, back.FrameType.JOB, back.pack_job(note), heard)
+
+    def tell_proofs(self, proofs: list[tuple[str, str]]) -> None:
+        """To those that know such a frame: it would end the link to an earlier version, each time anew."""
+        for peer in self.peers.values():
+            for at in range(0, len(proofs) if peer.answers else 0, c.ENDS_PROOFS_MOST):
+                self._tell(peer, back.FrameType.PROOFS, back.pack_proofs(proofs[at:at + c.ENDS_PROOFS_MOST]))
+
+    def _ask(self, peer: Peer, kind: back.FrameType, body: bytes, done: OnAnswer) -> None:
         if peer.stream is None or peer.stream.closed():
             done(None)
             return
-        self._request = (self._request + 1) % 2**32
+        self._request = self._request % (2**32 - 1) + 1  # never 0, which asks for no answer
         number = self._request
         peer.waiting[number] = steady() + c.RELAY_TIMEOUT_S, done
         try:
             # Not waited for: what can't be written in time gets no answer in time either.
-            peer.stream.write(back.frame(back.FrameType.RELAY, number, report))
+            peer.stream.write(back.frame(kind, number, body))
         except (StreamClosedError, back.BadFrame):
             if peer.waiting.pop(number, None) is not None:
                 done(None)
--- a/winglift/controller/following.py
+++ b/winglift/controller/following.py
@@ -85,8 +85,9 @@
     def take_job(self, ref: str, version: int, record: records.JobRecord, now: float) -> None:
         """A record that this node or another has committed."""
         job = self.picture.jobs.get(ref)
-        if job is not None and job.writing:
-            # Perhaps our own write, whose answer is still under way: it is compared once that is here.
+        if job is not None and job.writing and record.state != JobState.CANCELLED.value:
+            # Perhaps our own write, whose answer is still under way: it is compared once that is here. A cancellation
+            # is not put off: it is final whatever becomes of the write, which an outage may leave without an answer.
             if version > job.version and (job.pending is None or version > job.pending[0]):
                 job.pending = (version, records.encode(record))
                 if job.open_before is None:
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -172,6 +172,26 @@
         """A record that this node or another has committed."""
         self.following.take_job(ref, version, record, steady())
 
+    def sees_to(self, ref: str) -> bool:
+        """Does this leader know that the job is cancelled, and can it act?"""
+        if not self.loaded or not (self.me.entitled(steady()) or self.ends_only()):
+            return False
+        job = self.picture.jobs.get(ref)
+        return job is None or job.state is JobState.CANCELLED
+
+    def has_ended(self, ref: str) -> bool:
+        """Has this leader proven all tasks of a cancelled job off?"""
+        job = self.picture.jobs.get(ref)
+        return self.sees_to(ref) and (job is None or not job.active)
+
+    def deleted_elsewhere(self, names: list[str]) -> None:
+        """Another node has deleted these machines, for tasks of cancelled jobs. They are room no more; that all on them
+        is gone, this leader proves by an answer of its own (invariant 2)."""
+        for name in names:
+            machine = self.picture.machines.get(name)
+            if machine is not None and self.loaded:
+                self.inventory.delete(machine, "another node has deleted it for a cancelled task")
+
     def on_report(self, report: w.Report) -> list[w.Command] | None:
         """Commands for a worker, or none while this node may not command: the answer renews its lease all the same."""
         now = steady()
--- a/winglift/model/recorded.py
+++ b/winglift/model/recorded.py
@@ -109,8 +109,9 @@
 def committed(picture: Picture, job: Job, version: int, record: records.JobRecord, now: float) -> None:
     """A write of this job succeeded; its starts may now be sent (invariant 2)."""
     loaded = records.unpack(record)
-    _take_version(job, version, loaded)
-    _end(job, loaded)
+    if version > job.version:  # otherwise its user's cancellation has been heard of before the write's answer
+        _take_version(job, version, loaded)
+        _end(job, loaded)
     for index, place in loaded.places.items():
         task = job.active.get(index)
         if task and task.state is TaskState.PROPOSED and (task.machine.name, task.attempt) == place:
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -17,12 +17,14 @@
 from .config.settings import Settings, parse_addr
 from .controller.lead import Controller
 from .model import records
+from .model.job import JobState
 from .model.leadership import Role
 from .net.outside import Server, here, steady
 from .store.client import Health, StateClient
 from .store.election import Election
 from .wire import back
 from .wire.cloud import MachineType
+from .workers.ends import EndsKeeper
 from .workers.reports import Reports
 from .workers.stranded import State as Stranding
 
@@ -55,8 +57,11 @@
         self.cloud.entitled = lambda: self.controller is not None and self.controller.may_use_cloud()
         self.cloud.may_end = lambda: self.controller is not None and self.controller.ends_only()
         self.link = Link(settings.node, settings.seeds, self._mine, self._on_relay, self._on_job, self._on_peer,
-                         self._on_gone)
-        self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record, lambda: self.missing)
+                         self._on_gone, lambda peer: self.ends.on_link(peer),
+                         lambda proofs: self.ends.on_proofs(proofs))
+        self.ends = EndsKeeper(self)
+        self.cloud.answerable = self.ends.answerable
+        self.jobs = Jobs(settings, self.state, lambda: self.types, self._on_record, lambda: self.missing, self._on_seen)
         self.reports = Reports(self)
         self._began = steady()
         self._server: Server | None = None
@@ -79,13 +84,40 @@
     def _on_relay(self, body: bytes) -> tuple[int, bytes]:
         return self.reports.relayed(body)
 
-    def _on_job(self, note: back.JobNote) -> None:
+    def _on_job(self, note: back.JobNote) -> int:
+        """A record that another node knows: 200 if this one sees to it as the leader, 202 if it knows it now."""
+        try:
+            record = records.decode(note.record)
+            self._take_job(note.ref, note.version, record)
+            self.ends.take(note.ref, note.version, record)
+        except records.BadRecord as err:
+            log.warning("back link: %s", err)
+            return 400
+        return 200 if self.sees_to(note.ref) else 202
+
+    def _on_seen(self, ref: str, version: int, record: records.JobRecord) -> None:
+        """A record as users are told of it here. A cancellation that they are told is this node's to see to."""
+        if record.state == JobState.CANCELLED.value and self.ends.take(ref, version, record):
+            self._take_job(ref, version, record)
+
+    def _take_job(self, ref: str, version: int, record: records.JobRecord) -> None:
         if self.controller is not None and self.controller.loaded:
-            try:
-                record = records.decode(note.record)
-                self.controller.take_job(note.ref, note.version, record)
-            except records.BadRecord as err:
-                log.warning("back link: %s", err)
+            self.controller.take_job(ref, version, record)
+
+    # -- what seeing to ends asks --------------------------------------------------------------
+
+    def leader_by_record(self) -> str:
+        return self.election.known_leader
+
+    def sees_to(self, ref: str) -> bool:
+        return self.controller is not None and self.controller.sees_to(ref)
+
+    def has_ended(self, ref: str) -> bool:
+        return self.controller is not None and self.controller.has_ended(ref)
+
+    def deleted(self, machines: list[str]) -> None:
+        if self.controller is not None:
+            self.controller.deleted_elsewhere(machines)
 
     def _on_peer(self, state: back.PeerState) -> None:
         me = self.election.me
@@ -105,10 +137,11 @@
     def _on_record(self, ref: str, version: int, record: records.JobRecord) -> None:
         """This node has committed a change of a job: the leader hears of it at once."""
         if self.controller is not None:
-            if self.controller.loaded:
-                self.controller.take_job(ref, version, record)
-        else:
+            self._take_job(ref, version, record)
+        elif record.state != JobState.CANCELLED.value or not record.places:
             self.link.tell_leader(back.JobNote(version, ref, records.encode(record)))
+        # A cancellation with places is told to all nodes, and to each until it has it.
+        self.ends.take(ref, version, record)
         self.jobs.remember_end(ref, status_of(record, ref))
 
     def not_up(self) -> str | None:
@@ -191,7 +224,7 @@
         # What start-up has built lives on: the collector need not look at it again.
         gc.collect()
         gc.freeze()
-        await asyncio.gather(self._keep_types(), self.election.run())
+        await asyncio.gather(self._keep_types(), self.election.run(), self.ends.run())
 
     def stop(self) -> None:
         """End at once, as a kill would: for programs that embed a node, and for tests."""
--- a/winglift/store/mirror.py
+++ b/winglift/store/mirror.py
@@ -25,9 +25,11 @@
 
 
 class Mirror(Generic[T]):
-    def __init__(self, state: StateClient, digest: Callable[[str, records.JobRecord], T], every_s: float) -> None:
+    def __init__(self, state: StateClient, digest: Callable[[str, records.JobRecord], T], every_s: float,
+                 on_record: Callable[[str, int, records.JobRecord], None] = lambda ref, version, record: None) -> None:
         self.state = state
         self._digest = digest  # what is kept of a record
+        self._on_record = on_record  # hears of each record that is newer than what was known
         self._every_s = every_s
         self._known: OrderedDict[str, tuple[int, T]] = OrderedDict()
         self._revision: int | None = None
@@ -42,6 +44,7 @@
         if known is not None and known[0] >= version:
             return known[1]
         digest = self._digest(ref, record)
+        self._on_record(ref, version, record)
         self._known[ref] = version, digest
         self._known.move_to_end(ref)
         while len(self._known) > c.MIRROR_MOST:
--- a/winglift/wire/back.py
+++ b/winglift/wire/back.py
@@ -23,8 +23,12 @@
     STATE = 1  # what a node knows: term, whether it leads, whether the state service answers it
     RELAY = 2  # a worker's report, handed to the leader
     RELAYED = 3  # the leader's answer to it
-    JOB = 4  # a job record that this node has just committed
+    JOB = 4  # a job record that is committed; with a request number it is answered (RELAYED)
     FLEET = 5  # what only the leader knows of machines, for those that may follow it
+    PROOFS = 6  # which machines are proven free of which cancelled jobs
+
+
+_KNOWN = frozenset(int(kind) for kind in FrameType)
 
 
 class BadFrame(ValueError):
@@ -33,7 +37,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Header:
-    type: FrameType
+    type: FrameType | None  # None: one that a later version sends; its body is passed over
     request: int
     length: int
 
@@ -65,10 +69,7 @@
     magic, kind, request, length = HEADER.unpack(data)
     if magic != MAGIC or length > MAX_FRAME:
         raise BadFrame("not a winglift frame")
-    try:
-        return Header(FrameType(kind), request, length)
-    except ValueError:
-        raise BadFrame(f"unknown frame type {kind}") from None
+    return Header(FrameType(kind) if kind in _KNOWN else None, request, length)
 
 
 def pack_state(state: PeerState) -> bytes:
@@ -157,6 +158,24 @@
     return data.decode(), at + _COUNT.size + size
 
 
+def pack_proofs(proofs: list[tuple[str, str]]) -> bytes:
+    """Job and machine; a job without a name: the machine is gone with all that was on it."""
+    return _COUNT.pack(len(proofs)) + b"".join(_pack_text(ref) + _pack_text(machine) for ref, machine in proofs)
+
+
+def parse_proofs(body: bytes) -> list[tuple[str, str]]:
+    try:
+        (count,), at = _COUNT.unpack_from(body), _COUNT.size
+        found: list[tuple[str, str]] = []
+        for _ in range(count):
+            ref, at = _parse_text(body, at)
+            machine, at = _parse_text(body, at)
+            found.append((ref, machine))
+    except (struct.error, UnicodeDecodeError):
+        raise BadFrame("bad frame of proofs") from None
+    return found
+
+
 def pack_job(note: JobNote) -> bytes:
     ref = note.ref.encode()
     return _JOB.pack(note.version, len(ref)) + ref + note.record
--- a/winglift/workers/commands.py
+++ b/winglift/workers/commands.py
@@ -23,6 +23,18 @@
 log = logging.getLogger(__name__)
 
 
+async def command(addr: str, term: int, session: int, commands: list[w.Command]) -> w.Report | None:
+    """Send stops straight to a worker: its report after them, whether it took them or not; None: no sound answer."""
+    host, _, port = addr.partition(":")
+    body = msgspec.json.encode(w.DirectCommands(term, session, commands))
+    try:
+        reply = await here().client(host, int(port), most=0).request("POST", "/commands", body, c.COMMAND_TIMEOUT_S)
+        return w.parse_report(reply.body) if reply.status in (200, 409) else None
+    except (Unanswered, Invalid) as err:
+        log.debug("direct stop at %s: %s", addr, err)
+        return None
+
+
 class Stopper:
     """Tells workers to stop tasks at once; what gets lost is repeated by the next report's response."""
 
@@ -59,12 +71,6 @@
         commands = [w.halt(t.name, t.attempt, t.stop_grace or 0) for t in tasks if t.state in states]
         if not commands:
             return
-        host, _, port = machine.addr.partition(":")
-        client = here().client(host, int(port), most=0)
-        body = msgspec.json.encode(w.DirectCommands(self.picture.term, machine.session, commands))
-        try:
-            reply = await client.request("POST", "/commands", body, c.COMMAND_TIMEOUT_S)
-            if reply.status in (200, 409):
-                on_report(self.picture, w.parse_report(reply.body), steady(), direct=True)
-        except (Unanswered, Invalid) as err:
-            log.debug("direct stop on %s: %s", machine.name, err)
+        report = await command(machine.addr, self.picture.term, machine.session, commands)
+        if report is not None:
+            on_report(self.picture, report, steady(), direct=True)
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -24,10 +24,13 @@
 from ..net.outside import steady
 from ..wire import workers as w
 from ..wire.users import Invalid
+from .ends import EndsKeeper
 from .stranded import Stranded
 
 log = logging.getLogger(__name__)
 
+_commands = msgspec.json.Decoder(w.Commands)
+
 Answer = tuple[int, bytes]  # status and body
 
 
@@ -56,6 +59,9 @@
     @property
     def controller(self) -> Leader | None: ...
 
+    @property
+    def ends(self) -> EndsKeeper: ...
+
     def hears_others(self) -> bool:
         """Is the state service or any other node in hearing?"""
 
@@ -126,7 +132,10 @@
         return answer
 
     def _note(self, report: w.Report, answer: Answer, away: bool) -> Answer:
+        halts = self.node.ends.on_report(report)
         if answer[0] == 200:
+            if halts:
+                answer = 200, _with(answer[1], halts)
             self.stranded.served(report.machine, steady())
             if away:
                 self._known(report.machine, steady()).served = True
@@ -198,3 +207,11 @@
         if term == 0:
             return 503, msgspec.json.encode({"error": "no leader yet"})
         return 200, msgspec.json.encode(w.Commands(term, []))
+
+
+def _with(answer: bytes, halts: list[w.Command]) -> bytes:
+    """The answer with these stops too, under its own term (invariant 8)."""
+    given = _commands.decode(answer)
+    told = {(command.op, command.task, command.attempt) for command in given.commands}
+    more = [halt for halt in halts if (halt.op, halt.task, halt.attempt) not in told]
+    return msgspec.json.encode(w.Commands(given.token, given.commands + more)) if more else answer
