--- a/standins/history.py
+++ b/standins/history.py
@@ -1,9 +1,12 @@
-"""What users were told, in the order of asking and telling, and what in it contradicts itself."""
+"""The rules of the protocol, judged by what users were told and what the machines ran: each a function of its own."""
 
 from __future__ import annotations
 
 from collections import defaultdict
-from dataclasses import dataclass
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import pairwise
+from typing import Any
 
 ENDS = ("done", "aborted")
 
@@ -45,3 +48,98 @@
             if a.code == 201 and any(b.told < a.asked for b in good if b.what != "submit"):
                 found.append(f"{ref}: accepted anew at {a.told:.2f}")
     return found
+
+
+@dataclass
+class Job:
+    """What is known of a job beside what its user was told."""
+
+    spec: dict[str, Any]
+    confirmed: float | None = None  # when its user was first told that it is cancelled
+    done: set[str] = field(default_factory=set)  # tasks that have completed
+
+    def names(self) -> set[str]:
+        return {f"{self.spec['ref']}/{n}" for n in range(self.spec["pieces"])}
+
+
+@dataclass(frozen=True)
+class On:
+    """A task that is on a machine."""
+
+    piece: str
+    machine: str
+    zone: str
+    spot: bool = False
+
+    @property
+    def ref(self) -> str:
+        return self.piece.partition("/")[0]
+
+
+def start_breaks(start: On, others: Iterable[On], jobs: dict[str, Job], gpus_max: float, cancel_s: float,
+                 now: float) -> list[str]:
+    """The rules that a start breaks, given all other tasks that are on machines at that moment."""
+    job, on, found = jobs.get(start.ref), list(others), []
+    where = f"{start.piece} on {start.machine} at {now:.2f}"
+    if any(o.piece == start.piece for o in on):
+        found.append(f"ran_twice: {where}, and on {[o.machine for o in on if o.piece == start.piece]}")
+    if job is None:
+        return [*found, f"unknown: {where} belongs to no job"]
+    spec = job.spec
+    used = sum(jobs[o.ref].spec["gpus"] for o in on if o.ref in jobs and jobs[o.ref].spec["owner"] == spec["owner"])
+    if used + spec["gpus"] > gpus_max:
+        found.append(f"quota: {where} beside {used} GPUs")
+    zones = [o.zone for o in on if o.ref == start.ref and o.piece != start.piece]
+    if spec.get("hall") not in (None, start.zone):
+        found.append(f"wrong_place: {where} in {start.zone}")
+    if start.spot and not spec["loaner"]:
+        found.append(f"wrong_place: {where}, a spot machine")
+    if spec["samePlace"] and any(zone != start.zone for zone in zones):
+        found.append(f"wrong_place: {where} in {start.zone}, others in {zones}")
+    if spec["apart"] and zones.count(start.zone) + 1 > (spec["pieces"] + 1) // 2:
+        found.append(f"wrong_place: {where} in {start.zone}, others in {zones}, which is not apart")
+    if job.confirmed is not None and now > job.confirmed + cancel_s:
+        found.append(f"ran_cancelled: {where}, cancelled at {job.confirmed:.2f}")
+    return found
+
+
+def done_breaks(job: Job) -> list[str]:
+    """Its user has just been told that it is done."""
+    left = job.names() - job.done
+    return [f"not_done: {job.spec['ref']} without {sorted(left)}"] if left else []
+
+
+def forgotten(history: Iterable[Told], accepted: Iterable[str], over: float, end: float, most_s: float = 75.0,
+              ) -> list[str]:
+    """Jobs about which no question was answered for so long, once all troubles were over."""
+    answered: dict[str, list[float]] = defaultdict(list)
+    for told in history:
+        if told.code in (200, 201):
+            answered[told.ref].append(told.told)
+    found = []
+    for ref in accepted:
+        times = sorted([over, *(t for t in answered[ref] if over < t < end), end])
+        gap = max(b - a for a, b in pairwise(times))
+        if gap > most_s:
+            found.append(f"forgotten: {ref} was not answered for {gap:.0f} s")
+    return found
+
+
+def left_waiting(jobs: dict[str, Job], ended: Iterable[str], on: Iterable[On], gpus_max: float) -> set[str]:
+    """Tasks that neither are done nor on a machine at this moment, though their team is under its limit. There is
+    always a machine that fits to be had. None of them may be left so for 90 s."""
+    running, found, over = list(on), set[str](), set(ended)
+    for ref, job in jobs.items():
+        here = {o.piece for o in running if o.ref == ref}
+        left = job.names() - job.done - here
+        used = sum(jobs[o.ref].spec["gpus"] for o in running
+                   if o.ref in jobs and jobs[o.ref].spec["owner"] == job.spec["owner"])
+        if ref not in over and job.confirmed is None and left and used + job.spec["gpus"] <= gpus_max:
+            found |= left
+    return found
+
+
+def wrongly_accepted(history: Iterable[Told], never: Iterable[str]) -> list[str]:
+    """Jobs that can't run, lack a field or were never submitted, and were answered with 200 or 201."""
+    bad = set(never)
+    return [f"invented: {t.ref} got {t.code} for a {t.what}" for t in history if t.ref in bad and t.code in (200, 201)]
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -15,7 +15,7 @@
 
 from . import cloud, state
 from .__main__ import TEMPLATE
-from .history import Told
+from .history import Job, On, Told, done_breaks, start_breaks
 from .worker import Worker
 from .world import Host, Network
 
@@ -38,6 +38,9 @@
         self.nodes: dict[str, tuple[Host, Node]] = {}
         self.accepted: set[str] = set()
         self.ended: dict[str, str] = {}  # job: the end that a user was told
+        self.jobs: dict[str, Job] = {}  # what was submitted, and how far it is
+        self.gpus_max = gpus_max
+        self._told_at: dict[str, float] = {}  # job: when its user was first told its end
         self.confirmed: dict[str, float] = {}  # job: when its user was first told that it is cancelled
         self.late_starts: list[str] = []  # starts of tasks after that: no rule by themselves, and counted
         self.history: list[Told] = []  # every answer that a user was given
@@ -107,7 +110,7 @@
         assert worker is not None
         number = int(entry["ref"][3:])
         entry["endpoint"] = f"10.2.{number // 250}.{number % 250 + 1}:9000"
-        worker.changed = self._started
+        worker.changed = self._changed
         host = self._hosts[entry["ref"]] = Host(self.net, entry["ref"], entry["hall"])
         # Its clock began with its host.
         worker.answered = host.steady()
@@ -130,9 +133,10 @@
         """As users do: at another node after each failure."""
         while self.loop.now < end:
             self._number += 1
+            asked = self.loop.now
             reply = await self._ask_once(self.addresses[self._number % len(self.addresses)], method, path, body)
             if reply is not None and reply.status in (200, 201):
-                return json.loads(reply.body)
+                return {**json.loads(reply.body), "asked": asked}
             if reply is not None and reply.status in (400, 404, 422):
                 self.broken.append(f"forgotten: {method} {path} got {reply.status} {reply.body[:80]!r}")
             await asyncio.sleep(1.0)
@@ -154,6 +158,8 @@
         self.history.append(Told(ref, what, address, asked, self.loop.now, reply.status, status))
         if status == "aborted" and ref not in self.confirmed:
             self.confirmed[ref] = self.loop.now
+            if ref in self.jobs:
+                self.jobs[ref].confirmed = self.loop.now
             self.later(CANCEL_S + 0.001, self._must_be_gone, ref)
         return reply
 
@@ -162,8 +168,11 @@
         self.users.run(self._ask_once(self.addresses[number], method, path, body))
 
     def submit(self, ref: str, **changes: Any) -> None:
+        spec = {"ref": ref, **JOB, **changes}
+        self.jobs[ref] = Job(spec)
+
         async def ask() -> None:
-            if await self._ask("POST", "/work", {"ref": ref, **JOB, **changes}, self.loop.now + 60.0) is not None:
+            if await self._ask("POST", "/work", spec, self.loop.now + 60.0) is not None:
                 self.accepted.add(ref)
         self.users.run(ask())
 
@@ -174,10 +183,13 @@
             if found is None:
                 return
             told = self.ended.get(ref)
-            if told is not None and found["status"] != told:
+            if told is not None and found["status"] != told and found["asked"] > self._told_at[ref]:
                 self.broken.append(f"went_back: {ref} was {told}, now {found['status']}")
             if found["status"] in ("done", "aborted"):
+                if found["status"] == "done" and ref not in self.ended:
+                    self.broken += done_breaks(self.jobs[ref])
                 self.ended[ref] = found["status"]
+                self._told_at.setdefault(ref, self.loop.now)
         self.users.run(ask())
 
     def all_end(self, refs: list[str], most_s: float = 300.0) -> bool:
@@ -192,29 +204,37 @@
 
     # -- what must not happen ------------------------------------------------------------------
 
+    def on(self, unreported: bool = False) -> list[On]:
+        """All tasks that are on machines, by the workers' own word; with `unreported` those too whose end no report has
+        told yet."""
+        return [On(name, w.entry["ref"], w.entry["hall"], w.entry["loaner"]) for w in self.cloud.workers()
+                for (name, _), task in w.tasks.items() if task["status"] == "running"
+                and (unreported or task["ends"] > self._hosts[w.entry["ref"]].steady())]
+
     def on_machines(self, ref: str) -> list[tuple[str, str]]:
-        """Tasks of a job that are on machines, by the workers' own word: task and machine."""
-        return [(name, w.entry["ref"]) for w in self.cloud.workers() for (name, _), task in w.tasks.items()
-                if name.split("/")[0] == ref and task["status"] != "ended"
-                and task["ends"] > self._hosts[w.entry["ref"]].steady()]
+        """Tasks of a job that are on machines: task and machine."""
+        return [(o.piece, o.machine) for o in self.on() if o.ref == ref]
 
     def _must_be_gone(self, ref: str) -> None:
         for name, machine in self.on_machines(ref):
             self.broken.append(f"ran_cancelled: {name} on {machine}, cancelled at {self.confirmed[ref]:.2f}")
 
-    def _started(self, worker: Worker, what: str, piece: str) -> None:
+    def _changed(self, worker: Worker, what: str, piece: str) -> None:
+        if what == "starts":
+            self._started(worker, piece)
+        elif (job := self.jobs.get(piece.partition("/")[0])) is not None:
+            # The tasks of a gang complete together.
+            job.done |= job.names() if job.spec["shape"] == "ensemble" else {piece}
+
+    def _started(self, worker: Worker, piece: str) -> None:
         now = self.loop.now
-        confirmed = self.confirmed.get(piece.split("/")[0])
+        entry = worker.entry
+        start = On(piece, entry["ref"], entry["hall"], entry["loaner"])
+        self.broken += start_breaks(start, [o for o in self.on() if (o.piece, o.machine) != (piece, entry["ref"])],
+                                    self.jobs, self.gpus_max, CANCEL_S, now)
+        confirmed = self.confirmed.get(start.ref)
         if confirmed is not None:
             self.late_starts.append(f"{piece} at {now:.2f}, cancelled at {confirmed:.2f}")
-            if now > confirmed + CANCEL_S:
-                self.broken.append(f"ran_cancelled: {self.late_starts[-1]}")
-        for other in self.cloud.workers():
-            for (name, _), task in other.tasks.items():
-                if name == piece and other is not worker and task["status"] == "running" and (
-                        task["ends"] > self._hosts[other.entry["ref"]].steady()):
-                    self.broken.append(f"ran_twice: {piece} at {now:.2f} on {worker.entry['ref']}, and on "
-                                       f"{other.entry['ref']}")
         if self._intended.get(worker.entry["ref"], now) < now - 5.0:
             # Responses of reports are obeyed for up to 4 s.
             self.broken.append(f"placed after its deletion was intended: {piece} on {worker.entry['ref']} at {now:.2f}")
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -75,6 +75,7 @@
         for task in self.tasks.values():
             if task["status"] == "running" and now >= task["ends"]:
                 task["status"], task["exitCause"] = "ended", "done"
+                self.changed(self, "done", task["piece"])
         pieces = [{k: v for k, v in t.items() if k != "ends"} for t in self.tasks.values()]
         return {"rig": self.entry["ref"], "endpoint": self.entry["endpoint"], "rigType": self.entry["rigType"],
                 "hall": self.entry["hall"], "loaner": self.entry["loaner"], "shift": self.session, "tick": self.seq,
--- a/tests/test_blame.py
+++ b/tests/test_blame.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from standins.growth import NOW, Fleet
 from winglift import constants as c
 from winglift.model import blame, records
 from winglift.model.boots import Boots, overdue
@@ -19,6 +20,7 @@
 from winglift.policy.renting import Renting
 from winglift.store.batcher import pack
 from winglift.wire import workers as w
+from winglift.wire.users import Kind
 
 
 def machine(name: str, rented_at: float = 0.0, state: MachineState = MachineState.UP, zone: str = "a") -> Machine:
@@ -162,6 +164,27 @@
     assert {boots.patience_s(m, [TYPE]) / TYPE.boot_s for m in late} == {c.BOOT_GIVE_UP, c.BOOT_GIVE_UP_DARK}
 
 
+@given(st.integers(1, 30), st.integers(0, 12))
+def test_a_sound_job_that_met_faulty_machines_waits_less_than_90_s_beside_room(failures, machines):
+    """Its longest pause, the time in which it is not tried where it failed, and the run that shows it sound."""
+    lab = Fleet(20)
+    picture, job = lab.picture, lab.picture.jobs[lab.job(Kind.ARRAY, 3, 1.0, 4.0)]
+    for name in list(picture.machines)[:machines]:
+        blame.failed(job, picture.machines[name])
+    job.failures = failures
+    pause = blame.pause_s(job, 0.0)
+    assert pause + c.SOUND_RUN_S + c.IDLE_CYCLE_S < 90.0 and pause < c.AVOID_S
+    view = lab.fresh_view()
+    job.not_before = lab.now + pause
+    assert view._need(job, lab.now, NOW, False) is None
+    job.short_since = lab.now
+    first = view._need(job, job.not_before, NOW, False)
+    assert first is not None and first.avoid == frozenset(job.failed_on)
+    later = view._need(job, lab.now + c.AVOID_S, NOW, False)
+    assert later is not None and later.indices and not later.avoid
+    assert c.AVOID_S + c.SOUND_RUN_S + c.IDLE_CYCLE_S < 90.0
+
+
 @given(st.lists(st.floats(0.0, 3.0), min_size=2, max_size=40))
 def test_the_first_pause_of_a_job_that_looks_mistaken_is_a_short_one(times):
     """Its tasks fail together, but are heard of one after the other."""
--- a/tests/test_end_of_day.py
+++ b/tests/test_end_of_day.py
@@ -374,3 +374,55 @@
                 answer = told(scene, ref)
                 assert answer is not None and answer["ref"] == ref, ref
     assert len(scene.accepted) == len(refs) + 1 and not scene.broken
+
+
+# -- a machine that reaches nobody -------------------------------------------------------------
+
+
+def silence(scene: Scene, *machines: str) -> list[Cut]:
+    """Nothing from these machines gets to the nodes; what the nodes send arrives, and is answered."""
+    cuts = [Cut(name, f"node-{i}", False) for name in machines for i in range(3)]
+    scene.net.cuts += cuts
+    return cuts
+
+
+def test_replicas_on_a_machine_that_reaches_nobody_run_elsewhere_once_its_lease_is_over():
+    """It answered direct questions, and so counted as heard: its replicas were missed for as long as that lasted, and
+    new work was placed there, which no answer to a report could start."""
+    scene = begun(run_s=500.0)
+    scene.submit("wk-900", pieces=3, **SERVICE)
+    scene.loop.run(25.0)
+    name = next(n for i in range(3) if (n := machine_of(scene, f"wk-900/{i}")) is not None)
+    silence(scene, name)
+    scene.later(4.0, scene.submit, "wk-1")
+    scene.loop.run(scene.loop.now + 21.0)  # a lease, a boot, and two reports
+    now = {machine_of(scene, f"wk-900/{i}") for i in range(3)}
+    assert None not in now and name not in now and not scene.broken
+    assert {machine_of(scene, f"wk-1/{i}") for i in range(2)}.isdisjoint({None, name})
+
+
+@pytest.mark.parametrize("for_s", [4.0, 8.0])
+def test_a_machine_that_reaches_nobody_for_less_than_its_lease_keeps_its_work(for_s):
+    scene = begun(run_s=500.0)
+    scene.submit("wk-900", pieces=3, **SERVICE)
+    scene.loop.run(25.0)
+    name = next(n for i in range(3) if (n := machine_of(scene, f"wk-900/{i}")) is not None)
+    before = {i: machine_of(scene, f"wk-900/{i}") for i in range(3)}
+    cuts = silence(scene, name)
+    scene.loop.run(scene.loop.now + for_s)
+    for cut in cuts:
+        scene.net.mend(cut)
+    scene.loop.run(scene.loop.now + 20.0)
+    assert {i: machine_of(scene, f"wk-900/{i}") for i in range(3)} == before and not scene.broken
+
+
+def test_a_cancelled_task_on_a_machine_that_reaches_nobody_is_told_directly():
+    scene = begun(run_s=500.0)
+    scene.submit("wk-1", pieces=2)
+    scene.loop.run(20.0)
+    name = machine_of(scene, "wk-1/0")
+    assert name is not None
+    silence(scene, name)
+    scene.poll("wk-1", cancel=True)
+    scene.loop.run(scene.loop.now + 2.0)
+    assert scene.on_machines("wk-1") == [] and name in scene.cloud.machines
--- a/tests/test_largest.py
+++ b/tests/test_largest.py
@@ -41,7 +41,7 @@
     seconds after its acceptance; infinity if it did not."""
     began: list[float] = []
 
-    def look(worker, what, piece):
+    def look(worker, piece):
         if piece.startswith("wk-700/"):
             began.append(scene.loop.now)
     for n in range(int(until / 1.5)):
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from helpers import TYPE, settings, spec
+from hypothesis import given
 from hypothesis import settings as hsettings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
@@ -298,3 +299,32 @@
     me.move(RoleEvent.LOST)
     me.move(RoleEvent.RENEWED)
     assert me.role is Role.FOLLOWER
+
+
+@given(st.lists(st.tuples(st.integers(0, 3), st.booleans()), min_size=1, max_size=14), st.permutations(range(4)))
+def test_places_beyond_a_teams_limit_are_not_started_again_by_a_successor(places, order):
+    """Records may name more places than the limit allows: one was free and given away, and its record did not say so
+    yet when all nodes ended. What does not run is started again only as far as the limit goes; what runs goes on."""
+    picture = Picture(settings(), {"g4": TYPE}, 2)
+    limit = int(picture.ledger.teams["red"].gpus_max)
+    running = [n for n, (_, runs) in enumerate(places) if runs][:limit]
+    for n, (machine, _) in enumerate(places):
+        record = records.JobRecord(submitted=0.0, spec=spec(f"wk-{n}", tasks=1, gpus=1.0, team="red"), next_attempt=2,
+                                   places=[(f"vm-{machine}", 1, "0")])
+        apply_record(picture, f"wk-{n}", 5, record, 0.0)
+    started: set[str] = set()
+    for seq in (1, 2):
+        for machine in order:
+            listed = [w.TaskReport(f"wk-{n}/0", 1, w.Phase.RUNNING) for n, (m, _) in enumerate(places)
+                      if m == machine and (n in running or f"wk-{n}/0" in started)]
+            report = w.Report(machine=f"vm-{machine}", addr="10.0.0.1:1", type="g4", zone="a", spot=False, session=1,
+                              seq=seq, token=2, tasks=listed)
+            on_report(picture, report, float(seq))
+            found = picture.machines.get(f"vm-{machine}")
+            for command in orders(found, report, float(seq)) if found is not None else ():
+                assert command.op == "run"
+                started.add(command.task)
+            assert len(started | {f"wk-{n}/0" for n in running}) <= limit
+    assert {t.name for j in picture.jobs.values() for t in j.active.values()} == started | {
+        f"wk-{n}/0" for n in running}
+    assert len(started) + len(running) == min(limit, len(places))
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -109,9 +109,11 @@
 ERRORS_JOB = 2  # machines on which a job failed, with no success anywhere, until the job itself is suspected
 SOUND_RUN_S = 30.0  # s a task must have run to show that its job is sound: mistakes show early
 AVOID_MOST = 8  # machines remembered on which a job failed, and where it is not tried again
+AVOID_S = 45.0  # s that a job is short of tasks for which it is not tried where it failed; longer than its pauses
 BACKOFF_FIRST_S = 0.5  # s; first pause after a failed start
 BACKOFF_MOST_S = 30.0  # s; longest such pause
-BACKOFF_SUSPECT_S = 120.0  # s; longest pause of a job that looks mistaken, until its user cancels it
+BACKOFF_SUSPECT_S = 40.0  # s; longest pause of a job that looks mistaken, until its user cancels it. If it is sound and
+# met faulty machines, none of its tasks waits for 90 s beside room, with the run that shows it sound (SOUND_RUN_S)
 
 # --- cloud ------------------------------------------------------------------------------------
 CLOUD_TIMEOUT_S = 3.0  # s for one call
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -198,8 +198,10 @@
         # From the record, so that a change of the leader does not begin the wait anew.
         waited = now - job.waits_since if job.next_attempt > 1 else max(0.0, wall - job.submitted)
         patient = job.kind is Kind.ARRAY and now - job.short_since < self._patience_s
-        return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent,
-                           frozenset(job.failed_on), patient, mistaken, keeps=job.ref in self.kept,
+        # Where there is no other machine it is tried again where it failed: room must not be passed by for ever.
+        avoid = frozenset(job.failed_on) if now - job.short_since < c.AVOID_S else frozenset()
+        return policy.Need(job.ref, spec, indices, due, run_s, zone_counts(job), within, may_rent, avoid, patient,
+                           mistaken, keeps=job.ref in self.kept,
                            near=self.near.get(job.ref, frozenset()), waited_s=waited,
                            late=now - job.waits_since > self._displace_after_s.get(spec.job_class, math.inf))
 
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -192,6 +192,7 @@
     unheeded: int = 0  # reports in a row that did not show the starts of an answer before them
     deaf_since: float = 0.0
     doubled: bool = False  # another one reports under its name: that was told
+    asked: float = -math.inf  # when a question was last sent to it
     unanswered: float = -math.inf  # when a question was sent to it that it did not answer
     taken_at: float | None = None  # when a notice runs out
     tasks: dict[tuple[str, int], Task] = field(default_factory=dict)
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -54,7 +54,10 @@
         log.info("%s hears again", machine.name)
         picture.changed = True
     machine.session, machine.seq = report.session, report.seq
-    machine.last_heard = now
+    if not direct or machine.last_heard is None:
+        # A machine that answers questions and reaches no node gets no starts, and nothing renews its lease: it is as
+        # silent as any other. Its answers once made it look sound: replicas were missed until it reached a node again.
+        machine.last_heard = now
     machine.addr = report.addr
     if machine.state in (MachineState.BOOTING, MachineState.INHERITED):
         if machine.state is MachineState.BOOTING and picture.boots.came_up(machine, now):
@@ -86,13 +89,13 @@
             machine.strangers[key] = piece.attempt
             log.warning("%s: runs %s attempt %d, which no record names", machine.name, piece.task, piece.attempt)
             commands.append(w.halt(piece.task, piece.attempt, 0))
-    if not direct:
-        # A response of /commands may have been made while our answer to a report was under way,
-        # so only a report shows that a start did not take effect.
-        for key, task in list(machine.tasks.items()):
-            # A gang that breaks takes back its unsent members, on this machine too: those are gone already.
-            if key not in listed and task.state not in (TaskState.PROPOSED, TaskState.GONE):
-                _absent(picture, task, report, new_session, now)
+    # A response of /commands may have been made while our answer to a report was under way, so only a report shows that
+    # a start did not take effect. But a new session has nothing of the one before it, and drops answers to its reports.
+    for key, task in list(machine.tasks.items() if not direct or new_session else ()):
+        # A gang that breaks takes back its unsent members, on this machine too: those are gone already.
+        if key not in listed and task.state not in (TaskState.PROPOSED, TaskState.GONE) and (
+                not direct or _of_older_session(task, report)):
+            _absent(picture, task, report, new_session, now)
     for piece in report.tasks:
         key = piece.key()
         if key is not None and piece.phase is w.Phase.EXITED and _may_reap(picture, key, machine, piece.attempt):
@@ -240,13 +243,22 @@
         picture.changed = True
 
 
+def _of_older_session(task: Task, report: w.Report) -> bool:
+    """Was it surely sent in a session before this one? Of an inherited one that is not known: the leader before may
+    have sent it in an answer that is still under way."""
+    return task.state in PRESENT or (task.state is TaskState.SENT and task.sent_session < report.session)
+
+
 def _absent(picture: Picture, task: Task, report: w.Report, new_session: bool, now: float) -> None:
     """A newer report does not list the task: it is proven off the machine."""
     job = task.job
     if task.state is TaskState.SENT and report.session == task.sent_session and report.seq <= task.sent_seq:
         return
+    # Records come to more than a team's limit where a place was free and given to another job, and its own record did
+    # not say so yet when all nodes ended. Such a place was once started again, 25 GPUs of 24 (invariant 5).
+    stale = task.state is TaskState.UNKNOWN and picture.ledger.exceeded(job.spec.team)
     task.move(TaskEvent.ABSENT, now)
-    if task.state is TaskState.GONE or task.stopping or not job.is_open or not task.machine.usable:
+    if task.state is TaskState.GONE or stale or task.stopping or not job.is_open or not task.machine.usable:
         gone = task.state is TaskState.GONE
         if not gone:
             task.move(TaskEvent.MACHINE_GONE, now)
--- a/winglift/model/teams.py
+++ b/winglift/model/teams.py
@@ -39,6 +39,11 @@
             return 0
         return limit_tasks(team, spec, self.used[spec.team])
 
+    def exceeded(self, name: str) -> bool:
+        """Do the team's places come to more than its limit? After a change of the leader they may."""
+        team, used = self.teams.get(name), self.used[name]
+        return team is not None and ((0 < team.cpus_max < used.cpus - EPS) or (0 < team.gpus_max < used.gpus - EPS))
+
     def within_guarantee(self, name: str, cpus: float, gpus: float) -> bool:
         """Do these amounts fit into the team's guarantee? A guarantee of 0 is none."""
         team = self.teams.get(name)
--- a/winglift/policy/care.py
+++ b/winglift/policy/care.py
@@ -107,7 +107,8 @@
             if why is not None:
                 found.give_up.append((machine, why))
             elif (machine.last_heard is not None and machine.zone not in self.cut and machine.tasks
-                    and machine.last_heard < ask_at and machine.unanswered < machine.last_heard):
+                    and machine.last_heard < ask_at and machine.unanswered < machine.last_heard
+                    and machine.asked < ask_at):
                 found.ask.append(machine)
             elif machine.state is MachineState.DEAF:
                 if machine.zone in self.unheeded and now - machine.deaf_since > self.workers.lease_s:
--- a/winglift/workers/probes.py
+++ b/winglift/workers/probes.py
@@ -41,6 +41,7 @@
             # Where no machine hears there is none to compare with; their answers alone count then.
             control = machine if machine.state is MachineState.DEAF else controls.get(machine.zone)
             if machine.name not in self._asking and machine.addr and control is not None:
+                machine.asked = steady()
                 self._asking[machine.name] = asyncio.ensure_future(self._ask(machine, control))
 
     def stop(self) -> None:
