Machines that only the old leader has heard are told to stop by the cloud's list, not deleted

Change: who sees to an end asks the cloud's list for the addresses that it has not heard, within its own small share of calls; the refusal of a first word tells the session. Test: other work on these machines goes on, no session ends; without it they are deleted (guard test).

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -301,6 +301,9 @@
                              lambda: gaps.test_only_the_old_leader_reaches_the_machines_and_nobody_reaches_it(False)),
     "the door is open": (EndsKeeper, "answerable", lambda self, names: False,
                          lambda: gaps.test_only_the_old_leader_reaches_the_machines_and_nobody_reaches_it(False)),
+    "the list tells where machines answer": (
+        EndsKeeper, "_learn", lambda self, now: None,
+        lambda: gaps.test_machines_that_only_the_old_leader_has_heard_are_told_and_not_deleted(False)),
     "a cancellation is not put off": (Following, "take_job", put_off, lambda: took_at_once(False)),
 }
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -194,6 +194,33 @@
     gap.judge()
 
 
+@pytest.mark.parametrize("hold", [False, True])
+def test_machines_that_only_the_old_leader_has_heard_are_told_and_not_deleted(hold):
+    """Other work on them goes on: where they answer is known from the cloud's list."""
+    gap = Gap(13)
+    scene = gap.scene
+    scene.submit("wk-60", pieces=6)
+    scene.loop.run(scene.loop.now + 0.1)
+    scene.state.refused.clear()
+    assert scene.loop.run(lambda: len(scene.on_machines("wk-60")) == 6, 20.0)
+    scene.state.refused.add(gap.old)
+    cuts = [Cut(a, b, hold) for other in gap.others for a, b in ((gap.old, other), (other, gap.old))]
+    scene.net.cuts += cuts
+    for other in gap.others:
+        scene.nodes[other][1].ends.heard.clear()
+    sessions = {w.entry["ref"]: w.session for w in scene.cloud.workers()}
+    gap.cancel(gap.others[0])
+    gap.go_down()
+    scene.loop.run(scene.loop.now + 25.0)
+    assert all(scene.on_machines(ref) == [] for ref in gap.refs)
+    assert len(scene.on_machines("wk-60")) == 6
+    assert {w.entry["ref"]: w.session for w in scene.cloud.workers()} == sessions
+    for cut in cuts:
+        scene.net.mend(cut)
+    gap.outage_s -= 25.0
+    gap.judge()
+
+
 @pytest.mark.parametrize("rolls", [False, True])
 def test_only_the_old_leader_reaches_the_machines_and_nobody_reaches_it(rolls):
     """It keeps their tasks alive and knows of no cancellation: a deletion by name is all that is left. With `rolls`
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -98,6 +98,7 @@
 ENDS_LOOK_S = 0.25  # s between two looks at the cancellations that are to be seen to
 ENDS_TELL_S = 1.0  # s until a node that did not take the word of a cancellation is told again
 ENDS_ASK_S = 2.0  # s between two questions to one machine whether a cancelled task is off it
+ENDS_LIST_S = 5.0  # s between two looks at the cloud's list for where machines answer: it is some seconds late
 ENDS_REREAD_S = 1.0  # s between two readings of records whose cancellation has been left to a leader for long
 ENDS_REREAD_SHARE = 1.5  # of cancel_s; since when
 ENDS_KEPT_SHARE = 3.0  # of cancel_s; the ends kept are the changes that the state service takes in so long
--- a/winglift/workers/ends.py
+++ b/winglift/workers/ends.py
@@ -78,6 +78,8 @@
         self.heard: dict[str, Heard] = {}
         self._asking: dict[str, asyncio.Task] = {}
         self._deleting: asyncio.Task | None = None
+        self._listing: asyncio.Task | None = None
+        self._next_list = 0.0
         self._wake = asyncio.Event()
         self._next_sweep = 0.0
         self._next_read = 0.0
@@ -147,8 +149,7 @@
                 self.ends.settle(end.ref, now)
             else:
                 end.move(Event.TAKEN if self._is_left(end, now) else Event.ORPHANED, now)
-        if any(True for _ in self.ends.open()):
-            self._ask(now, at)
+        self._ask(now, at)
         names = self._due(now, at)
         if names and (self._deleting is None or self._deleting.done()):
             self._deleting = asyncio.ensure_future(self._delete(names[:c.DELETE_MOST]))
@@ -189,20 +190,36 @@
 
     def _ask(self, now: float, at: float) -> None:
         """Tell the machines of open ends to stop, at once and, once their answer is a proof, until it is one."""
-        asked: set[str] = set()
         for end in self.ends.open():
             settled = end.age_s(at, self.ends.skew_s) >= self.ends.settle_s
             for machine in end.halts:
                 heard = self.heard.get(machine)
-                if heard is None or machine in self._asking or machine in asked:
-                    continue
-                if heard.asked < end.since or (settled and now - heard.asked > c.ENDS_ASK_S):
+                if heard is None:
+                    self._learn(now)
+                elif machine not in self._asking and (
+                        heard.asked < end.since or (settled and now - heard.asked > c.ENDS_ASK_S)):
                     if len(self._asking) >= c.PROBES_AT_ONCE:
                         return
-                    asked.add(machine)
                     heard.asked = now
                     self._asking[machine] = asyncio.ensure_future(self._question(machine, heard))
 
+    def _learn(self, now: float) -> None:
+        """The cloud tells where machines answer that report to another node, perhaps one that nobody can tell anything:
+        without it they were deleted, with all the other work on them."""
+        if now < self._next_list or (self._listing is not None and not self._listing.done()):
+            return
+        self._next_list = now + c.ENDS_LIST_S
+        self._listing = asyncio.ensure_future(self._list())
+
+    async def _list(self) -> None:
+        try:
+            for entry in await self.node.cloud.list():
+                if entry.addr:
+                    # Its session is not known: the refusal of a first word tells it.
+                    self.heard.setdefault(entry.name, Heard(entry.addr, 0, steady()))
+        except CloudError as err:
+            log.info("where machines answer: %s", err)
+
     async def _question(self, machine: str, heard: Heard) -> None:
         try:
             halts = [halt for end in self.ends.holding(machine) for halt in end.halts[machine]]
