Starts in flight are played as long as a worker takes them, with all nodes or one left

Cause: the stand-in's workers give a node up after 1 s, so the play that delivered a start 2.5 s late had it dropped, and showed nothing. They wait 4 s there now, as the protocol says; the test asserts that the start took effect, at 0.3, 1.5 and 3 s, with all nodes alive and with the confirming one alone.

--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -6,6 +6,7 @@
 import pytest
 
 from standins.scene import CANCEL_S, Scene
+from standins.worker import Worker
 from standins.world import Cut, Message
 from winglift.wire import back
 
@@ -258,8 +259,11 @@
     gap.judge()
 
 
-def test_a_start_in_flight_comes_after_the_halt():
-    """The refused leader's last answers carry starts; they arrive seconds later, after the halt that found nothing."""
+@pytest.mark.parametrize("late_s", [0.3, 1.5, 3.0])
+@pytest.mark.parametrize("left", ["all", "confirming"])
+def test_a_start_in_flight_comes_after_the_halt(late_s, left, monkeypatch):
+    """The refused leader's last answer carries starts and arrives seconds later, after the halt that found nothing."""
+    monkeypatch.setattr(Worker, "try_s", 4.0)  # a worker takes an answer for so long
     gap = Gap(11)
     scene = gap.scene
     scene.state.refused.clear()
@@ -277,8 +281,14 @@
     scene.state.refused.add(gap.old)
     gap.cancel(gap.others[0])
     gap.go_down()
-    scene.later(2.5, lambda: [deliver() for deliver in scene.net.kept])
-    scene.loop.run(scene.loop.now + 3.0)
+    if left == "confirming":
+        for name in (gap.old, gap.others[1]):
+            scene.crash(name)
+            scene.later(30.0, scene.start, gap.number(name))
+    scene.later(late_s, lambda: [deliver() for deliver in scene.net.kept])
+    scene.loop.run(scene.loop.now + late_s + 0.5)
     scene.net.watch = lambda message: None
-    scene.late_starts.clear()  # it was sent before the user was told
+    # It was sent before the user was told, and it began after every node had told the machine to stop.
+    assert scene.late_starts
+    scene.late_starts.clear()
     gap.judge()
