--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -138,7 +138,8 @@
 # -- what comes over the link ------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("note", [b"", b"{", b'{"t":1}', b"\xff\xfe"])
+@pytest.mark.parametrize("note", [b"", b"{", b'{"t":1}', b"\xff\xfe",
+                                  records.encode(record({"vm-000001": "0"})).replace(b'"0"', b'"0-x"')])
 def test_a_word_that_is_no_record_is_refused_and_ends_no_link(note, caplog):
     scene = begun()
     host, node = scene.nodes["node-1"]
@@ -190,7 +191,6 @@
     scene.loop.run(20.0)
     old = next(n for n in scene.nodes if n != scene.leader())
     told: list[int] = []
-    tell = back.pack_proofs
     for name, (_, node) in scene.nodes.items():
         if name != old:
             def ask(peer, kind, body, done, node=node, usual=node.link._ask):
@@ -202,7 +202,6 @@
             node.link._ask = ask
             peer = node.link.peers[old]
             monkeypatch.setattr(type(peer), "answers", property(lambda p: p.seed.node != old, lambda p, value: None))
-    monkeypatch.setattr(back, "pack_proofs", tell)
     scene.poll("wk-1", cancel=True)
     scene.loop.run(scene.loop.now + CANCEL_S + 5.0)
     assert not scene.broken and scene.on_machines("wk-1") == []
@@ -215,14 +214,13 @@
     for n in range(4):
         scene.submit(f"wk-{n}", pieces=6)
     scene.loop.run(20.0)
-    before = set(scene.cloud.machines)
     for n in range(4):
         scene.later(0.3 * n, scene.poll, f"wk-{n}", True)
     scene.loop.run(scene.loop.now + 5.0)
     assert all(scene.on_machines(f"wk-{n}") == [] for n in range(4))
     scene.loop.run(scene.loop.now + 2 * CANCEL_S)
     assert "past the leader" not in caplog.text
-    assert "for a cancelled task" not in caplog.text and len(before) > 0
+    assert "for a cancelled task" not in caplog.text and "holds the cancelled" not in caplog.text
     # Nobody keeps anything of it, and nothing was asked of the machines by those who don't lead.
     assert all(not node.ends.ends.all for _, node in scene.nodes.values())
 
--- a/winglift/model/ends.py
+++ b/winglift/model/ends.py
@@ -195,6 +195,9 @@
 def halts_of(ref: str, record: records.JobRecord) -> dict[str, list[w.Command]]:
     """Machine: the stops of all tasks that the record places there."""
     found: dict[str, list[w.Command]] = {}
-    for machine, attempt, text in record.places:
-        found.setdefault(machine, []).extend(w.halt(f"{ref}/{n}", attempt, 0) for n in records.unpack_ranges(text))
+    try:
+        for machine, attempt, text in record.places:
+            found.setdefault(machine, []).extend(w.halt(f"{ref}/{n}", attempt, 0) for n in records.unpack_ranges(text))
+    except ValueError as err:
+        raise records.BadRecord(str(err)) from None
     return found
