Reread: the age of a cancellation is counted in one place, names are taken apart once

Need: read once more, the change counted a cancellation's age by a second copy of the formula that a leader uses, margin for the clocks included; took tasks' names apart anew in each report, beside the parts that are kept; and asked twice whether a record is cancelled.

--- a/winglift/model/ends.py
+++ b/winglift/model/ends.py
@@ -6,14 +6,13 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
 from .. import constants as c
 from ..wire import workers as w
 from . import records
-from .job import JobState
+from .job import JobState, since_cancelled
 
 
 class State(Enum):
@@ -67,7 +66,7 @@
 
     def age_s(self, wall: float, skew_s: float) -> float:
         """At the most so many seconds ago its user was told, as `Job.cancelled_for` counts it."""
-        return wall - self.cancelled + 2 * skew_s if self.cancelled is not None else math.inf
+        return since_cancelled(self.cancelled, wall, skew_s)
 
 
 class Ends:
@@ -119,8 +118,8 @@
         found: list[w.Command] = []
         if self.all:
             for piece in report.tasks:
-                ref = piece.task.partition("/")[0]
-                end = self.all.get(ref)
+                key = piece.key()
+                end = self.all.get(key[0]) if key is not None else None
                 if end is not None and piece.phase is not w.Phase.EXITED:
                     found.append(w.halt(piece.task, piece.attempt, 0))
                     if report.machine not in end.halts:
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -12,7 +12,7 @@
 from .. import constants as c
 from ..wire.cloud import MachineType
 from ..wire.users import Kind, Priority, Submission
-from .job import JOB_TRANSITIONS, DoneSet, JobEvent, JobState
+from .job import JOB_TRANSITIONS, DoneSet, JobEvent, JobState, since_cancelled
 from .machine import TRANSITIONS as MACHINE_TRANSITIONS
 from .machine import MachineEvent, MachineState
 from .task import PRESENT, TaskEvent, TaskState, next_state
@@ -89,8 +89,7 @@
         start, and the last one deleted the machines 12 s too late. Whoever has seen the job open since knows better: a
         transaction may be applied minutes after the time that it holds.
         """
-        by_record = wall - self.cancelled + 2 * skew_s if self.cancelled is not None else math.inf
-        return min(by_record, now - self.open_at)
+        return min(since_cancelled(self.cancelled, wall, skew_s), now - self.open_at)
 
     @property
     def grace_s(self) -> float:
--- a/winglift/model/job.py
+++ b/winglift/model/job.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import Enum
 
 from .. import constants as c
@@ -36,6 +37,15 @@
 }
 
 
+def since_cancelled(cancelled: float | None, wall: float, skew_s: float) -> float:
+    """At the most so many seconds ago a user was told that a job is cancelled, by the time of day in its record.
+
+    The time was read before the commit, the user is told after it, and two nodes' clocks are at most twice `skew_s`
+    apart. A record without it, by a version that did not write it, counts as cancelled long ago.
+    """
+    return wall - cancelled + 2 * skew_s if cancelled is not None else math.inf
+
+
 class DoneSet:
     """Which tasks are done: all below `low`, and a set above it within the window."""
 
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -97,7 +97,7 @@
 
     def _on_seen(self, ref: str, version: int, record: records.JobRecord) -> None:
         """A record as users are told of it here. A cancellation that they are told is this node's to see to."""
-        if record.state == JobState.CANCELLED.value and self.ends.take(ref, version, record):
+        if self.ends.take(ref, version, record):
             self._take_job(ref, version, record)
 
     def _take_job(self, ref: str, version: int, record: records.JobRecord) -> None:
