--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -70,6 +70,13 @@
         for ref in self.refs:
             if ref in self.scene.accepted and ref not in self.scene.ended:
                 self.scene.poll(ref)
+        known = sorted(self.scene.accepted)
+        if known:
+            # A submission that is repeated, whatever has become of the job, and a cancellation of one that is done.
+            ref = self.rng.choice(known)
+            self.scene.copy(self.rng.randrange(3), "POST", "/work", self.scene.jobs[ref].spec)
+            if self.scene.ended.get(ref) == "done":
+                self.scene.copy(self.rng.randrange(3), "POST", f"/work/{ref}/abort", {})
         for ref in ("wk-77", "wk-78"):  # nobody has submitted the first; the second lacks a field
             self.scene.copy(self.rng.randrange(3), "GET", f"/work/{ref}")
         self.scene.copy(self.rng.randrange(3), "POST", "/work", {"ref": "wk-78", "jobClass": "c"})
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -305,7 +305,7 @@
     def _check_jobs(self, now: float) -> None:
         for job in list(self.picture.jobs.values()):
             if not job.is_open and not job.active and not job.writing and not job.dirty and not job.recorded:
-                del self.picture.jobs[job.ref]
+                self.picture.forget(job)
             elif job.state is JobState.CANCELLED:
                 for task in job.active.values():
                     # A stop that got lost is repeated: within cancel_s all its tasks must be gone.
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -7,8 +7,10 @@
 
 import logging
 import math
+from collections import OrderedDict
 from collections.abc import Callable, Iterable
 
+from .. import constants as c
 from ..config.settings import Settings
 from ..wire.cloud import MachineType
 from ..wire.users import Kind
@@ -31,6 +33,7 @@
         self.jobs: dict[str, Job] = {}
         self.machines: dict[str, Machine] = {}
         self.deleted: dict[str, float] = {}
+        self.over: OrderedDict[str, int] = OrderedDict()  # jobs that hold nothing any more: the record's last version
         self.ledger = Ledger({t.name: t for t in settings.settings.teams})
         self.run_ratio: dict[str, float] = {}  # job class: real run time by the estimate
         self.known_images: dict[str, dict[str, float]] = {}  # what the leader before knew of machines
@@ -74,6 +77,13 @@
             job.mark(TIDY)
         self.changed = True
 
+    def forget(self, job: Job) -> None:
+        """An ended job of which nothing is left. A late word of an older record must not bring its places back."""
+        self.jobs.pop(job.ref, None)
+        self.over[job.ref] = job.version
+        while len(self.over) > c.ENDS_CACHED:
+            self.over.popitem(last=False)
+
     # -- decisions -----------------------------------------------------------------------------
 
     def violation(self, job: Job, machine: Machine, extra: dict[str, int] | None = None) -> str | None:
