--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -11,8 +11,9 @@
 
 from winglift.net.outside import steady
 
+from .gangs import Gangs
 from .processes import Processes
-from .worker import Worker
+from .worker import Describe, Worker
 
 TYPE: dict[str, Any] = {"name": "g4", "cpus": 32.0, "gpus": 4.0, "memGb": 256.0, "cacheGb": 60.0, "pullGbPerS": 100.0,
         "hourly": 12.0, "spotPrice": 4.0, "bootS": 0.2, "halls": ["a", "b"]}
@@ -37,6 +38,8 @@
         self.place: Callable[[dict[str, Any], Callable[[], None]], None] = lambda entry, start: start()
         self.report_s = 0.2
         self.lease_s = 3.0
+        self.describe: Describe = lambda ref: None  # jobs whose images are fetched and whose gangs wait
+        self.gangs = Gangs()
 
     async def rent(self, body: dict[str, Any]) -> list[str] | None:
         if body["hire"] in self.requests:
@@ -61,7 +64,8 @@
             return
         entry, _, began = self.machines[name]
         worker = Worker(entry, self.controllers, self.run_s, self.report_s, self.lease_s,
-                        self.processes)
+                        self.processes, self.describe, self.gangs)
+        worker.fetch_gb_per_s = self.type["pullGbPerS"]
         entry["status"] = "running"
         self.machines[name] = (entry, worker, began)
         self.place(entry, worker.start)
--- a/standins/history.py
+++ b/standins/history.py
@@ -137,7 +137,9 @@
         left = job.names() - job.done - here
         used = sum(jobs[o.ref].spec["gpus"] for o in running
                    if o.ref in jobs and jobs[o.ref].spec["owner"] == job.spec["owner"])
-        if ref not in over and job.confirmed is None and left and used + job.spec["gpus"] <= gpus_max:
+        # The tasks of a gang start together or not at all.
+        together = len(left) if job.spec["shape"] == "ensemble" else 1
+        if ref not in over and job.confirmed is None and left and used + together * job.spec["gpus"] <= gpus_max:
             found |= left
     return found
 
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -16,7 +16,7 @@
 from . import cloud, state
 from .__main__ import TEMPLATE
 from .history import Job, On, Told, done_breaks, start_breaks
-from .worker import Worker
+from .worker import ON_MACHINE, Worker
 from .world import Host, Network
 
 HOUR = 3600.0
@@ -30,7 +30,8 @@
     """`count` nodes in zones a and b by turns. Everything follows from the seed and from what a test does."""
 
     def __init__(self, count: int = 3, seed: int = 0, boot_s: float = 20.0, run_s: float = 20.0, lag_s: float = 3.0,
-                 report_s: float = 1.0, capacity: int = 100, gpus_max: float = 400.0) -> None:
+                 report_s: float = 1.0, capacity: int = 100, gpus_max: float = 400.0,
+                 teams: tuple[str, ...] = ("team",), fetches: bool = False) -> None:
         self.net = Network(seed)
         self.loop = self.net.loop
         self.addresses = [f"10.0.0.{i + 1}" for i in range(count)]
@@ -53,6 +54,9 @@
         self.cloud.capacity, self.cloud.list_lag_s = capacity, lag_s
         self.cloud.report_s, self.cloud.lease_s = report_s, 10.0
         self.cloud.place = self._place
+        if fetches:  # images take their time, and the tasks of a gang wait for one another
+            self.cloud.type["pullGbPerS"] = 1.0
+            self.cloud.describe = lambda ref: self.jobs[ref].spec if ref in self.jobs else None
         self._intended: dict[str, float] = {}  # machine: when its deletion was first recorded
         self._hosts: dict[str, Host] = {}  # machine: its host
         self._delete = self.cloud.delete
@@ -65,6 +69,9 @@
                           .replace("cancel_s = 10.0", f"cancel_s = {CANCEL_S}")
                           .replace("list_lag_s = 0.1", f"list_lag_s = {lag_s}").replace("nodes = 1", f"nodes = {count}")
                           .replace("gpus = 8.0", "gpus = 40.0").replace("gpus_max = 16.0", f"gpus_max = {gpus_max}"))
+        block = self._settings[self._settings.index("[[settings.teams]]"):self._settings.index("[settings.workers]")]
+        self._settings = self._settings.replace(
+            block, "".join(block.replace('name = "team"', f'name = "{team}"') for team in teams))
         self.services.context.run(self.services.serve, state.application(self.state), "10.1.0.1", 80)
         self.services.context.run(self.services.serve, cloud.application(self.cloud), "10.1.0.2", 80)
 
@@ -112,6 +119,7 @@
         entry["endpoint"] = f"10.2.{number // 250}.{number % 250 + 1}:9000"
         worker.changed = self._changed
         host = self._hosts[entry["ref"]] = Host(self.net, entry["ref"], entry["hall"])
+        worker.stands_still = lambda: host.held is not None
         # Its clock began with its host.
         worker.answered = host.steady()
         self.loop.call_soon(start, context=host.context)
@@ -209,7 +217,7 @@
         """All tasks that are on machines, by the workers' own word; with `unreported` those too whose end no report has
         told yet."""
         return [On(name, w.entry["ref"], w.entry["hall"], w.entry["loaner"]) for w in self.cloud.workers()
-                for (name, _), task in w.tasks.items() if task["status"] == "running"
+                for (name, _), task in w.tasks.items() if task["status"] in ON_MACHINE
                 and (unreported or task["ends"] > self._hosts[w.entry["ref"]].steady())]
 
     def on_machines(self, ref: str) -> list[tuple[str, str]]:
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 import json
 import math
 from collections.abc import Callable
@@ -14,14 +15,19 @@
 from winglift.net.client import Unanswered
 from winglift.net.outside import Requests, Server, here, steady
 
+from .gangs import Gangs
 from .processes import Processes
 
+ON_MACHINE = ("fetching", "waiting", "running")
+Describe = Callable[[str], dict[str, Any] | None]
+
 
 class Worker:
     try_s, again_s = 1.0, 0.05  # s that a node may take to answer, and until the next is tried; real ones take 4 and 1
 
     def __init__(self, entry: dict[str, Any], controllers: list[tuple[str, str]], run_s: Callable[[str], float],
-                 report_s: float, lease_s: float, processes: Processes | None = None) -> None:
+                 report_s: float, lease_s: float, processes: Processes | None = None,
+                 describe: Describe = lambda ref: None, gangs: Gangs | None = None) -> None:
         self.entry = entry
         self.controllers = controllers
         self.run_s = run_s
@@ -36,8 +42,15 @@
         self._loop: asyncio.Task | None = None
         self._server: Server | None = None
         self.changed: Callable[[Worker, str, str], None] = lambda worker, what, task: None
+        self.describe = describe  # a job as submitted: with it, images are fetched and gangs wait for one another
+        self.gangs = gangs if gangs is not None else Gangs()
+        self.fetch_gb_per_s = math.inf
+        self._images: dict[str, float] = {}  # image: when it is here
+        self.stands_still: Callable[[], bool] = lambda: False
+        self.context = contextvars.copy_context()
 
     def start(self) -> None:
+        self.context = contextvars.copy_context()
         if self.entry["endpoint"] == "127.0.0.1:1":
             sock, port = bind_unused_port()
             sock.close()
@@ -56,6 +69,8 @@
             self._server.stop()
 
     def _forget(self) -> None:
+        for key in list(self.tasks):
+            self._leave(key)
         self.tasks.clear()
         for task in self._running.values():
             task.cancel()
@@ -87,18 +102,49 @@
             if order["verb"] == "run" and key not in self.tasks:
                 self.starts.append((steady(), order["piece"]))
                 self.changed(self, "starts", order["piece"])
-                described = self.processes is not None and self.processes.knows(key[0])
-                self.tasks[key] = {"piece": key[0], "tryNo": key[1], "status": "running",
-                                   "ends": math.inf if described else steady() + self.run_s(key[0])}
-                if described:
-                    self._running[key] = asyncio.ensure_future(self._process(key))
+                self._start(key)
             elif order["verb"] == "halt" and key in self.tasks and self.tasks[key]["status"] != "ended":
-                self.tasks[key].update(status="ended", exitCause="halted")
+                self.exit(key, "halted")
                 if key in self._running:
                     self._running.pop(key).cancel()
             elif order["verb"] == "reap" and key in self.tasks and self.tasks[key]["status"] == "ended":
                 del self.tasks[key]
 
+    def _start(self, key: tuple[str, int]) -> None:
+        spec = self.describe(key[0].partition("/")[0])
+        described = self.processes is not None and self.processes.knows(key[0])
+        self.tasks[key] = {"piece": key[0], "tryNo": key[1], "status": "running", "ends": math.inf}
+        if described:
+            self._running[key] = asyncio.ensure_future(self._process(key))
+        elif spec is None:
+            self.tasks[key]["ends"] = steady() + self.run_s(key[0])
+        else:
+            self.tasks[key]["status"] = "fetching"
+            here_at = self._images.setdefault(spec["bundle"], steady() + spec["pullGb"] / self.fetch_gb_per_s)
+            asyncio.get_running_loop().call_later(max(0.0, here_at - steady()), self._fetched, key, spec)
+
+    def _fetched(self, key: tuple[str, int], spec: dict[str, Any]) -> None:
+        if key not in self.tasks or self.tasks[key]["status"] != "fetching":
+            return
+        if spec["shape"] == "ensemble":
+            self.tasks[key]["status"] = "waiting"
+            self.gangs.join(self, key, spec["pieces"])
+        else:
+            self.go(key)
+
+    def go(self, key: tuple[str, int]) -> None:
+        """The task runs from now on."""
+        self.tasks[key].update(status="running", ends=steady() + self.run_s(key[0]))
+
+    def exit(self, key: tuple[str, int], why: str) -> None:
+        """The task ends now; its gang will notice."""
+        if key in self.tasks and self.tasks[key]["status"] != "ended":
+            self.tasks[key].update(status="ended", exitCause=why)
+            self._leave(key)
+
+    def _leave(self, key: tuple[str, int]) -> None:
+        self.gangs.leave(self, key)
+
     async def _run(self) -> None:
         clients: dict[str, Requests] = {}
         at = 0
--- a/standins/world.py
+++ b/standins/world.py
@@ -36,6 +36,13 @@
     number: int
 
 
+@dataclass(frozen=True)
+class Delayed:
+    """A verdict on a message: it arrives this much later."""
+
+    seconds: float
+
+
 @dataclass(eq=False)
 class Cut:
     """Nothing from `source` gets to `target` ("" for any host, a leading "@" names a zone) until it is mended.
@@ -114,8 +121,8 @@
         self.loss = 0.002  # of the messages; each is sent again after 0.2 s
         self.log: list[str] = []
         self.number = 0
-        # "hold", "drop", None, or the seconds after which a copy comes as well
-        self.watch: Callable[[Message], str | float | None] = lambda message: None
+        # "hold", "drop", None, a delay, or the seconds after which a copy comes as well
+        self.watch: Callable[[Message], str | float | Delayed | None] = lambda message: None
 
     def shut(self, host: Host) -> None:
         self.listeners = {a: found for a, found in self.listeners.items() if found[0] is not host}
@@ -154,9 +161,11 @@
         elif cut is not None and cut.hold:
             cut.held.append(arrive)
         elif cut is None and verdict != "drop":
-            if verdict is not None:
-                self.loop.call_later(float(verdict), arrive, context=self.own)
             delay = self.rng.uniform(0.0005, 0.004) + (0.2 if self.rng.random() < self.loss else 0.0)
+            if isinstance(verdict, Delayed):
+                delay += verdict.seconds
+            elif verdict is not None:
+                self.loop.call_later(float(verdict), arrive, context=self.own)
             when = max(self.loop.now + delay, after)
             self.loop.call_at(when, arrive, context=self.own)
             return when
--- /dev/null
+++ b/tests/test_further_meetings.py
@@ -0,0 +1,264 @@
+"""The operators' further meetings: generated plays with two teams, gangs and image fetches, and one course for each of
+those that they wrote out, step by step. Judged as in `test_meetings`."""
+
+from __future__ import annotations
+
+import itertools
+from collections import Counter
+
+import pytest
+from meeting import Meeting
+from troubles import FURTHER, TROUBLES, close_looks, deliver_everywhere, small_jobs
+
+from standins.world import Cut, Delayed, Message
+
+PAIRS = list(itertools.combinations_with_replacement(FURTHER, 2)) + list(itertools.product(FURTHER, TROUBLES))
+
+
+@pytest.mark.parametrize("one,other", PAIRS[::6], ids=lambda trouble: trouble.__name__)
+def test_no_rule_breaks_when_a_further_trouble_meets_another(one, other):
+    assert Meeting((one, other), 0, wide=True).breaks() == []
+
+
+# -- asked at all nodes within milliseconds ----------------------------------------------------
+
+
+@pytest.mark.parametrize("answers", ["slow", "lost", "delayed commits", "as usual"])
+@pytest.mark.parametrize("node", ["stands still", "is just back", "is sound"])
+def test_no_node_answers_older_than_what_was_told_milliseconds_before(answers, node):
+    def course(m: Meeting, at: float) -> None:
+        close_looks(m, 20.0)
+        for n in range(12):
+            m.submit(8.0 + 2.5 * n, f"wk-{100 + n}", pieces=1 + n % 2, gpus=0.5)
+            if n % 3 == 0:
+                # Called off at once, at another node than the one that has accepted it.
+                m._cancel(8.05 + 2.5 * n, f"wk-{100 + n}")
+        m.lasts(9.0, 30.0, lambda: _answers(m, answers, 0.4), lambda: _answers(m, answers, 0.0))
+        for n in range(5):
+            if node == "stands still":
+                host = m.scene.nodes[f"node-{n % 3}"][0]
+                m.scene.later(10.0 + 5 * n, setattr, host, "steps_left", 40 + 7 * n)
+                m.scene.later(12.0 + 5 * n, host.go_on)
+            elif node == "is just back":
+                m.crash(10.0 + 5 * n, lambda n=n: f"node-{n % 3}", 0.05)  # type: ignore[misc]
+    meeting = Meeting((course,), 1, jobs=2)
+    assert meeting.breaks() == []
+    assert sum(len(told.ref) > 0 for told in meeting.scene.history) > 500  # it was looked at closely
+
+
+def _answers(m: Meeting, what: str, share: float) -> None:
+    if what == "slow":
+        m.slow_answers = share
+    elif what == "lost":
+        m.lost_answers = share
+    elif what == "delayed commits":
+        m.late_writes = share
+
+
+def test_a_stale_answer_would_be_seen(monkeypatch):
+    """Without the look that is sent after the question, a node tells what it knew."""
+    from winglift.store.mirror import Mirror
+
+    async def known(self, ref):  # type: ignore[no-untyped-def]
+        if ref not in self._known:
+            item = await self.state.get("job/" + ref)
+            return None if item is None else self.note(ref, item.version, _decode(item.value))
+        return self._known[ref][1]
+    from winglift.model.records import decode as _decode
+    monkeypatch.setattr(Mirror, "get", known)
+    assert any("over since" in found for found in Meeting((close_looks,), 1, wide=True).breaks())
+
+
+# -- a transaction is carried out at once, only its answer is lost ------------------------------
+
+
+@pytest.mark.parametrize("number", range(14))
+@pytest.mark.parametrize("reads", ["answered", "lost too"])
+def test_a_transaction_whose_answer_alone_is_lost(number, reads):
+    """Each of a course in turn: elections, duty pages, submissions, starts, ends and cancellations."""
+    dropped: list[str] = []
+
+    def course(m: Meeting, at: float) -> None:
+        seen = 0
+        usual = m.scene.net.watch
+
+        def watch(message: Message):  # type: ignore[no-untyped-def]
+            nonlocal seen
+            if message.what == "answer POST /commit":
+                seen += 1
+                if seen % 14 == number:
+                    dropped.append(message.target)
+                    return "drop"
+            elif reads == "lost too" and message.what.startswith("answer GET /store/") and dropped and seen % 3 == 0:
+                return Delayed(1.0)
+            return usual(message)
+        m.scene.net.watch = watch
+        for n in range(8):
+            m.submit(1.0 + 2.0 * n, f"wk-{100 + n}", pieces=2)
+        m._cancel(9.0, "wk-102")
+        m.crash(14.0, m.leads, 0.4)
+        m.crash(24.0, m.leads, 3.0)
+    assert Meeting((course,), number, jobs=2).breaks() == []
+    assert dropped
+
+
+# -- every team at its limit -------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("machines", ["hang", "are cut off", "don't hear", "reach nobody"])
+@pytest.mark.parametrize("after_s", [0.1, 2.0, 12.0])
+@pytest.mark.parametrize("for_s", [8.0, 45.0])
+def test_every_team_is_at_its_limit_and_cancelled_jobs_run_where_nobody_is_told(machines, after_s, for_s):
+    def course(m: Meeting, at: float) -> None:
+        for n in range(14):
+            m.submit(1.0 + 0.2 * n, f"wk-{100 + n}", pieces=4, owner=m.teams[n % 2])
+        m.scene.later(24.0, begin, m)
+        m.crash(24.0 + after_s, m.leads, 3.0)
+        m.crash(24.0 + after_s + 6.0, m.leads, 0.4)
+
+    def begin(m: Meeting) -> None:
+        used = Counter(m.scene.jobs[on.ref].spec["owner"] for on in m.scene.on())
+        assert used["team"] == used["crew"] == 24  # at their limits
+        names = sorted({on.machine for on in m.scene.on() if on.ref in ("wk-100", "wk-101", "wk-102", "wk-103")})
+        nodes = [f"node-{i}" for i in range(3)]
+        hosts = [m.scene._hosts[name] for name in names] if machines == "hang" else []
+        ways = {"are cut off": "both", "don't hear": "to", "reach nobody": "from"}.get(machines, "")
+        cuts = [Cut(node, name, False) for node in nodes for name in names if ways in ("both", "to")]
+        cuts += [Cut(name, node, False) for node in nodes for name in names if ways in ("both", "from")]
+        m.scene.net.cuts += cuts
+        for host in hosts:
+            host.stand_still()
+        for ref in ("wk-100", "wk-101", "wk-102", "wk-103"):
+            m._cancel(0.05, ref)
+        m.lasts(0.0, for_s, lambda: None, lambda: [host.go_on() for host in hosts] + [m.scene.net.mend(cut)
+                                                                                     for cut in cuts])
+    meeting = Meeting((course,), 1, wide=True, jobs=0, run_s=150.0)
+    assert meeting.breaks() == []
+    assert {"wk-100", "wk-101"} <= meeting.scene.confirmed.keys()
+
+
+# -- cancelled as one controller's work changes hands -------------------------------------------
+
+
+@pytest.mark.parametrize("how", ["ends", "is cut off", "hands over", "stands still", "all roll"])
+@pytest.mark.parametrize("asked", ["the old leader", "another"])
+@pytest.mark.parametrize("offset", [-0.05, 0.0, 0.4, 2.0, 4.5])
+def test_jobs_are_cancelled_in_the_seconds_in_which_work_changes_hands(how, asked, offset):
+    def course(m: Meeting, at: float) -> None:
+        for n in range(6):
+            m.submit(1.0 + 0.2 * n, f"wk-{100 + n}", pieces=3)
+        # Starts are on their way in these seconds too.
+        for n in range(6, 12):
+            m.submit(23.0 + 0.3 * n - 1.8, f"wk-{100 + n}", pieces=1)
+        m.scene.later(24.0, change, m)
+
+    def change(m: Meeting) -> None:
+        old = m.leads()
+        number = int(old[-1]) if asked == "the old leader" else (int(old[-1]) + 1) % 3
+        for n in range(0, 12, 2):
+            m.scene.later(max(0.0, 0.1 + offset + 0.03 * n), m._copy_cancel, number, f"wk-{100 + n}")
+            m._cancel(max(0.0, 0.1 + offset + 0.03 * n) + 1.0, f"wk-{100 + n}")
+        if how == "ends":
+            m.crash(0.1, lambda: old, 3.0)
+        elif how == "all roll":
+            for n in range(3):
+                m.crash(0.1 + 1.5 * n, lambda n=n: f"node-{n}", 0.4)  # type: ignore[misc]
+        elif how == "stands still":
+            host = m.scene.nodes[old][0]
+            m.lasts(0.1, 5.0, host.stand_still, host.go_on)
+        elif how == "is cut off":
+            others = [f"node-{i}" for i in range(3) if f"node-{i}" != old] + ["services"]
+            m.cuts(0.1, 14.0, lambda: [p for o in others for p in ((old, o), (o, old))], True)
+        else:
+            host, node = m.scene.nodes[old]
+            m.scene.later(0.1, lambda: host.run(node.election.resign("hands over")))
+    meeting = Meeting((course,), 2, wide=True, jobs=0, run_s=60.0)
+    assert meeting.breaks() == []
+    assert len(meeting.scene.confirmed) >= 6
+
+
+# -- machines up at once, writes lag, the leader ends -------------------------------------------
+
+
+@pytest.mark.parametrize("boot_s", [0.3, 2.0])
+@pytest.mark.parametrize("writes", ["late", "answers lost", "slow"])
+@pytest.mark.parametrize("after_s", [0.5, 1.2, 2.5, 5.0])
+def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(boot_s, writes, after_s):
+    def course(m: Meeting, at: float) -> None:
+        m.scene.cloud.type.update(bootS=boot_s)
+        for n in range(12):
+            m.submit(18.0 + 0.1 * n, f"wk-{100 + n}", pieces=4, owner=m.teams[n % 2])
+        share = {"late": "late_writes", "answers lost": "lost_answers", "slow": "slow_answers"}[writes]
+        m.lasts(18.3, 12.0, lambda: setattr(m, share, 0.5), lambda: setattr(m, share, 0.0))
+        m.crash(18.3 + after_s, m.leads, 3.0)
+        m.crash(18.3 + after_s + 4.0, m.leads, 0.05)
+        m.over += 12.0
+    assert Meeting((course,), 3, wide=True, jobs=0, run_s=40.0).breaks() == []
+
+
+# -- an old report at every controller as a leader begins --------------------------------------
+
+
+@pytest.mark.parametrize("age", ["of the session", "of an earlier session", "of an earlier attempt"])
+@pytest.mark.parametrize("moments", ["before the records", "before its first report", "later"])
+def test_an_old_report_reaches_every_controller_as_a_leader_begins(age, moments):
+    """Each copy is of a time when the machine had other tasks than now: none, or those that it has long lost."""
+    def course(m: Meeting, at: float) -> None:
+        for n in range(4):
+            m.submit(1.0, f"wk-{100 + n}", pieces=3)
+        m.lasts(10.0, 14.0, lambda: setattr(m, "kept_reports", 1.0), lambda: setattr(m, "kept_reports", 0.0))
+        if age == "of an earlier session":
+            # Long enough without an answer: all workers begin a new session.
+            nodes = [f"node-{i}" for i in range(3)]
+            m.cuts(25.0, 14.0, lambda: [(node, name) for node in nodes for name in sorted(m.scene._hosts)], False)
+        elif age == "of an earlier attempt":
+            m.scene.later(25.0, m.scene.die, 2)
+        m.crash(45.0, m.leads, 3.0)
+        delay = {"before the records": 0.0, "before its first report": 0.06, "later": 1.5}[moments]
+        _at_each_new_leader(m, lambda: m.scene.later(delay, deliver_everywhere, m, m.reports[-60:]))
+    meeting = Meeting((course,), 4, wide=True, jobs=0, run_s=40.0)
+    assert meeting.reports and meeting.breaks() == []
+
+
+def _at_each_new_leader(m: Meeting, what) -> None:  # type: ignore[no-untyped-def]
+    seen: list[int] = []
+
+    def look() -> None:
+        record = m.scene.state.keys.get("leader")
+        if record is not None and record[1] not in seen:
+            seen.append(record[1])
+            if len(seen) > 1:
+                what()
+        m.scene.later(0.005, look)
+    m.scene.later(0.0, look)
+
+
+# -- one-task jobs, four a second --------------------------------------------------------------
+
+
+def test_one_task_jobs_come_four_a_second_and_a_quarter_is_cancelled():
+    meeting = Meeting((small_jobs, close_looks), 5, wide=True, jobs=0)
+    assert meeting.breaks() == []
+    ended = meeting.scene.ended
+    small = [ref for ref in meeting.refs if meeting.scene.jobs[ref].spec["pieces"] == 1]
+    assert len(small) == 120 and all(ref in ended for ref in small)
+
+
+def test_a_one_task_job_costs_three_changes():
+    """Accepted, started, done: nothing else is written of it."""
+    written: Counter[str] = Counter()
+
+    def course(m: Meeting, at: float) -> None:
+        apply = m.scene.state.apply
+
+        def count(changes):  # type: ignore[no-untyped-def]
+            written.update(c["write"][len("job/"):] for c in changes if c.get("write", "").startswith("job/"))
+            return apply(changes)
+        m.scene.state.apply = count  # type: ignore[method-assign]
+        for n in range(80):
+            m.submit(8.0 + n / 4, f"wk-{100 + n}", pieces=1, gpus=0.25, cpus=1.0)
+    meeting = Meeting((course,), 6, jobs=0)
+    assert meeting.breaks() == []
+    done = [ref for ref in meeting.refs if meeting.scene.ended.get(ref) == "done"]
+    assert len(done) > 50 and {written[ref] for ref in done} == {3}
+
