A machine's answer proves a cancelled task off only 8 s after the word of the cancellation

Cause: Ends.answered counted those 8 s, in which a start may be in flight, from the time of day in the record. That was read before the transaction was sent; one that is carried out 2 to 12 s late (or minutes) looked settled at once, and an answer without the task freed the machine before the start came.

--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -53,7 +53,7 @@
     assert end is not None
     for act, machine, later in course:
         now += later
-        settled = now + 2 * book.skew_s >= book.settle_s
+        settled = now >= book.settle_s  # since this node knows of it: its time of day may be of long before the commit
         if act == "record":
             version += 1
             book.note("wk-1", version, record(dict.fromkeys(held - {machine}, "0-1")), now)
@@ -84,6 +84,20 @@
             assert end.state is State.OPEN and now + 2 * book.skew_s > CANCEL_S * c.CANCEL_DELETE_SHARE
 
 
+@pytest.mark.parametrize("late_s", [0.0, 2.0, 12.0, 60.0])
+def test_a_cancellation_that_was_carried_out_late_is_no_older_than_the_word_of_it(late_s):
+    """Its time of day was read before the transaction was sent, and a leader may have sent starts until it was carried
+    out: an answer that comes soon after proves nothing."""
+    book, now = ends(), 100.0
+    end = book.note("wk-1", 5, record({"vm-000001": "0"}, at=now - late_s), now)
+    assert end is not None
+    # What counts is when it was asked: the answer may have been held up.
+    book.answered(report("vm-000001"), now + book.settle_s - 0.1, now + book.settle_s + 1.5)
+    assert end.state is State.OPEN
+    book.answered(report("vm-000001"), now + book.settle_s, now + book.settle_s)
+    assert end.state is State.SETTLED
+
+
 def test_each_event_leads_to_a_state_or_changes_nothing():
     for state, event in itertools.product(State, Event):
         end = ends().note("wk-1", 1, record({"vm-000001": "0"}), 0.0)
--- a/winglift/model/ends.py
+++ b/winglift/model/ends.py
@@ -64,6 +64,11 @@
             self.state, self.since = new, now
         return new
 
+    def known_s(self, now: float) -> float:
+        """At the least so many seconds ago it was committed: its time of day was read before that, and a transaction
+        may be carried out minutes after the time that it holds."""
+        return now - self.noted_at
+
     def age_s(self, wall: float, skew_s: float) -> float:
         """At the most so many seconds ago its user was told, as `Job.cancelled_for` counts it."""
         return since_cancelled(self.cancelled, wall, skew_s)
@@ -128,13 +133,13 @@
                         end.move(Event.SEEN, now)
         return found
 
-    def answered(self, report: w.Report, now: float, wall: float) -> list[w.Command]:
-        """The machine has just answered a question of this node: what it does not list now is off it, unless a start
-        may yet come. What it still lists is to be stopped."""
+    def answered(self, report: w.Report, asked: float, now: float) -> list[w.Command]:
+        """The machine has answered a question that this node sent at `asked`: what it does not list is off it, unless a
+        start could yet come then. What it still lists is to be stopped."""
         left = self.on_report(report, now)
         listed = {command.task.partition("/")[0] for command in left}
         for end in self.holding(report.machine):
-            if end.ref not in listed and end.age_s(wall, self.skew_s) >= self.settle_s:
+            if end.ref not in listed and end.known_s(asked) >= self.settle_s:
                 self.free(end.ref, report.machine, now)
         return left
 
--- a/winglift/workers/ends.py
+++ b/winglift/workers/ends.py
@@ -149,7 +149,7 @@
                 self.ends.settle(end.ref, now)
             else:
                 end.move(Event.TAKEN if self._is_left(end, now) else Event.ORPHANED, now)
-        self._ask(now, at)
+        self._ask(now)
         names = self._due(now, at)
         if names and (self._deleting is None or self._deleting.done()):
             self._deleting = asyncio.ensure_future(self._delete(names[:c.DELETE_MOST]))
@@ -188,10 +188,10 @@
         named = self.node.leader_by_record()
         return self.node.state.health() is Health.GOOD and named not in ("", self.node.settings.node)
 
-    def _ask(self, now: float, at: float) -> None:
+    def _ask(self, now: float) -> None:
         """Tell the machines of open ends to stop, at once and, once their answer is a proof, until it is one."""
         for end in self.ends.open():
-            settled = end.age_s(at, self.ends.skew_s) >= self.ends.settle_s
+            settled = end.known_s(now) >= self.ends.settle_s
             for machine in end.halts:
                 heard = self.heard.get(machine)
                 if heard is None:
@@ -224,17 +224,22 @@
         try:
             halts = [halt for end in self.ends.holding(machine) for halt in end.halts[machine]]
             # Its last word may be of an earlier session, or it knows a higher term: it is told once more then.
-            report = await command(heard.addr, self.node.known_term(), heard.session, halts)
-            if report is not None and report.machine == machine:
-                left = self.ends.answered(report, steady(), wall())
-                if left:
-                    term = max(self.node.known_term(), report.token)
-                    report = await command(heard.addr, term, report.session, left)
-                    if report is not None and report.machine == machine:
-                        self.ends.answered(report, steady(), wall())
+            left, report = await self._told_to_stop(machine, heard.addr, self.node.known_term(), heard.session, halts)
+            if left and report is not None:
+                term = max(self.node.known_term(), report.token)
+                await self._told_to_stop(machine, heard.addr, term, report.session, left)
         finally:
             self._asking.pop(machine, None)
 
+    async def _told_to_stop(self, machine: str, addr: str, term: int, session: int, halts: list[w.Command],
+                            ) -> tuple[list[w.Command], w.Report | None]:
+        """What the machine still lists after these stops, and its report; none without a sound answer."""
+        asked = steady()
+        report = await command(addr, term, session, halts)
+        if report is None or report.machine != machine:
+            return [], None
+        return self.ends.answered(report, asked, steady()), report
+
     def _due(self, now: float, at: float) -> list[str]:
         own, peers = self.node.settings.node, self.node.link.peers.items()
         rank = sum(name < own and peer.fresh(now) for name, peer in peers)
