--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -11,7 +11,7 @@
 from standins.growth import Fleet, cost, exponent, main, measure
 from standins.scene import Scene
 from winglift import constants as c
-from winglift.controller.lead import pause_s, rest_s
+from winglift.controller.pacing import pause_s, rest_s
 from winglift.model.machine import MachineState
 from winglift.model.task import TaskEvent
 from winglift.policy.plan import make_plan
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -41,24 +41,12 @@
 from .following import Following
 from .handover import Handover
 from .leaving import Leaving
+from .pacing import pause_s, rest_s
 from .view import View
 
 log = logging.getLogger(__name__)
 
 
-def pause_s(took: float) -> float:
-    """How long after a cycle that took so long the next one may begin.
-
-    At 970 machines a cycle each 0.15 s was half of the leader's work, and most of them found little to do.
-    """
-    return max(c.CYCLE_S, min(took * c.CYCLE_PAUSE, c.CYCLE_PAUSE_S), took * c.CYCLE_PAUSE_LEAST)
-
-
-def rest_s(took: float) -> float:
-    """How long after it the next one begins unless somebody is in a hurry."""
-    return max(pause_s(took), min(took * c.CYCLE_REST, c.CYCLE_REST_S))
-
-
 class Controller:
     def __init__(self, settings: Settings, state: StateClient, cloud: CloudClient, election: Election,
                  types: dict[str, MachineType], link: Link, script: Script) -> None:
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -13,7 +13,7 @@
 from ..config.script import Script
 from ..config.settings import Settings
 from ..model.blame import suspect
-from ..model.entities import Job, Load, Machine, Task
+from ..model.entities import Job, Load, Machine
 from ..model.job import JobState
 from ..model.machine import MachineState
 from ..model.picture import Picture, zone_counts
@@ -21,10 +21,11 @@
 from ..net.outside import wall
 from ..policy import snapshot as policy
 from ..policy import worth
-from ..policy.reserve import reserve_size
 from ..policy.split import sub_deadline
 from ..wire.cloud import MachineType
 from ..wire.users import Kind, Submission
+from .reserves import Arrival, start_aims, warm_reserves
+from .stop_cost import frail, lost_s
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,7 +72,8 @@
         self._within: set[str] = set()  # of the snapshot being made: jobs within their teams' guarantees,
         self._now = 0.0  # and its time
         self.near: dict[str, frozenset[str]] = {}  # job: machines of the steps before it in a workflow
-        self.recent: deque[tuple[float, Submission]] = deque(maxlen=c.RECENT_ARRIVALS)
+        self.recent: deque[Arrival] = deque(maxlen=c.RECENT_ARRIVALS)
+        self._aims = start_aims(settings.settings.objectives)
 
     def snapshot(self, now: float, may_move: bool = True,
                  cut: frozenset[str] = frozenset(), attended: frozenset[str] | None = None) -> policy.Snapshot:
@@ -116,7 +118,8 @@
                     stopping_cpus[team] = stopping_cpus.get(team, 0.0) + cpus
         return policy.Snapshot(
             now=today, rooms=rooms, needs=needs, ledger=picture.ledger, types=self.types,
-            refused=self.inventory.refused_now(now), reserves=self._reserves(today),
+            refused=self.inventory.refused_now(now),
+            reserves=warm_reserves(self._aims, self.recent, self.types, self.script, today),
             dark=picture.boots.allowed(self.types.values(), picture.machines.values(),
                                        self.inventory.asked_places(), now),
             stopping_gpus=stopping_gpus, stopping_cpus=stopping_cpus,
@@ -289,57 +292,15 @@
             spec = task.job.spec
             if task.yields:
                 victims.append(policy.Victim(task.job.ref, task.index, spec.priority, spec.team, spec.cpus,
-                                             spec.gpus, spec.memory_gb, _lost_s(task, now),
+                                             spec.gpus, spec.memory_gb, lost_s(task, now),
                                              spec.tasks if spec.kind is Kind.GANG else 1, task.job.ref in within,
-                                             _frail(task, now)))
+                                             frail(task, now)))
             elif task.replica:
                 ran = now - (task.running_since if task.running_since is not None else now)
                 movers.append(policy.Mover(task.job.ref, spec, zone_counts(task.job), ran, task.index))
         return victims, movers
 
-    def _reserves(self, wall: float) -> list[policy.Reserve]:
-        """Warm room for classes that must start sooner than a machine boots, from their recent arrivals."""
-        aims: dict[str, float] = {}
-        for o in self.settings.settings.objectives:
-            if o.kind == "wait" and o.within_s is not None:
-                aims[o.job_class] = min(o.within_s, aims.get(o.job_class, math.inf))
-        classes: dict[str, list[tuple[float, Submission]]] = {}
-        for when, spec in self.recent:
-            if spec.job_class in aims and wall - when < c.RESERVE_WINDOW_S:
-                classes.setdefault(spec.job_class, []).append((when, spec))
-        deviations = self.script.number("reserve_deviations")
-        found: list[policy.Reserve] = []
-        for name, arrivals in classes.items():
-            # What is rented for a class takes the boot and the fetch of the type that serves it, not of another.
-            mtype = worth.cheapest(arrivals[-1][1], self.types.values())
-            if mtype is None or aims[name] >= worth.ready_s(arrivals[-1][1], mtype):
-                continue
-            proposed = reserve_size([(when, spec.tasks) for when, spec in arrivals], wall, mtype.boot_s, deviations)
-            if not proposed:
-                continue
-            count = int(self.script.ask("reserve", proposed, name, proposed))
-            found.append(policy.Reserve(arrivals[-1][1], count))
-        return found
-
 
 def gang_may_rent(waited_s: float, boot_s: float) -> bool:
     """A gang that fits no zone would rent machines, see them returned idle and rent them again for ever."""
     return waited_s < c.GANG_PATIENCE * boot_s or waited_s % c.GANG_AGAIN_S < boot_s
-
-
-def _lost_s(task: Task, now: float) -> float:
-    """Work that stopping a task costs: what it has not saved, and the way to its next start.
-
-    Tasks that still fetched once counted as costing nothing: 40 gangs were stopped 970 times in the first 100 s.
-    """
-    if task.running_since is None:
-        return c.RESTART_S + now - task.since
-    ran = now - task.running_since
-    return c.RESTART_S + (min(ran, task.job.spec.save_s) if task.job.spec.checkpoint_s > 0 else ran)
-
-
-def _frail(task: Task, now: float) -> bool:
-    """Would a stop cost a gang its start? A start counts only if it lasts, and several tasks seldom fit again soon."""
-    if task.job.kind is not Kind.GANG:
-        return False
-    return task.job.spec.tasks > 1 or task.running_since is None or now - task.running_since < c.MOVE_AFTER_S
