--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -32,6 +32,7 @@
 MAX_QUEUE_S = 0.35  # s; longest wait for a request token before a user is refused
 COMMIT_PARALLEL = 3  # transactions in flight at once
 RECORD_WINDOW = 2048  # tasks; a job works on this many unfinished tasks at a time (256-byte bitmap)
+SMALL_RECORD_TASKS = 40  # tasks; the record of a job of so many fits into one value however they are placed
 RECORD_SPARE_BYTES = 96  # bytes of a value kept free for counters that grow
 
 # --- users ------------------------------------------------------------------------------------
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -42,6 +42,7 @@
 from .handover import Handover
 from .leaving import Leaving
 from .pacing import pause_s, rest_s
+from .plan_executor import PlanExecutor
 from .view import View
 
 log = logging.getLogger(__name__)
@@ -78,6 +79,7 @@
         self.stopper = Stopper(self.picture, self.me, self.ends_only)
         self.prober = Prober(self.picture, self.me)
         self.view = View(settings, self.picture, self.inventory, script, self._may_rent)
+        self.executor = PlanExecutor(self.picture, self.batcher, self.view)
         self.leaving = Leaving(self.picture, self.inventory, script, settings.settings.workers)
         self.handover = Handover(self.picture, self.inventory, self.leaving, self.view)
         self.book.notes = lambda page: self.handover.note(page, steady(), wall())
@@ -97,7 +99,6 @@
         self.picture.on_urgent = self._hurry.set
         self.picture.on_ending = self.batcher.flush_soon
         self._last_plan = 0.0
-        self._too_large: set[str] = set()  # jobs of which that was told
         self._next_word = 0.0  # when the other nodes are told of the fleet again
         self._next_pass = math.inf  # when the cycle's next pass is due at the latest
         self.picture.known_images = dict(link.fleet.images)
@@ -350,51 +351,8 @@
     # -- commit and act ------------------------------------------------------------------------
 
     def _apply(self, plan: policy.Plan, now: float) -> None:
+        self.executor.apply(plan, now)
         picture = self.picture
-        for ref, index, whom in plan.stops:
-            job = picture.jobs.get(ref)
-            task = job.active.get(index) if job else None
-            if job is None or task is None or task.stopping:
-                continue
-            log.info("stops %s on %s to make room for %s", task.name, task.machine.name, whom)
-            grace = job.grace_s
-            if job.kind is Kind.GANG:
-                for other in list(job.active.values()):
-                    picture.stop(other, grace, now, f"makes room for {whom}")
-            else:
-                picture.stop(task, grace, now, f"makes room for {whom}")
-        self.view.keep(plan.kept, now)
-        for ref, index in plan.rescues:
-            job = picture.jobs.get(ref)
-            task = job.active.get(index) if job else None
-            if task is not None and task.state is TaskState.FETCHING:
-                picture.stop(task, 0.0, now, "starts beside its image")
-        for ref, index in plan.moves:
-            job = picture.jobs.get(ref)
-            task = job.active.get(index) if job else None
-            if task is not None and not task.stopping:
-                picture.stop(task, 0.0, now, "moves out of a gang's way")
-        for ref, places in plan.starts:
-            job = picture.jobs.get(ref)
-            if job is None:
-                continue
-            chosen = [(i, m) for i, name in places if (m := picture.machines.get(name)) is not None]
-            if job.kind is Kind.GANG and len(chosen) != len(places):
-                continue
-            if picture.propose(job, chosen, now):
-                if job.spec.tasks > 40 and not self.batcher.fits(job):
-                    self.batcher.reject(job, now, 0 if job.kind is Kind.GANG else len(chosen) // 2)
-                log.debug("places %s: %s", ref, ", ".join(f"{i} on {m.name}" for i, m in chosen))
-        if plan.too_large is not None and plan.too_large not in self._too_large:
-            self._too_large.add(plan.too_large)
-            log.info(
-                "%s has waited for %.0f s and does not fit on what is up: %s",
-                plan.too_large,
-                c.BEGIN_MOST_S,
-                plan.waiting.get(plan.too_large, ""),
-            )
-        for ref, why in plan.waiting.items():
-            log.debug("%s waits: %s", ref, why)
         self._replicas_wait = any(
             job.kind is Kind.SERVICE for ref in plan.waiting if (job := picture.jobs.get(ref)) is not None
         )
