--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -5,6 +5,7 @@
 
 import itertools
 from collections import Counter
+from collections.abc import Callable
 
 import pytest
 from meeting import Meeting
@@ -75,10 +76,9 @@
 # -- a transaction is carried out at once, only its answer is lost ------------------------------
 
 
-@pytest.mark.parametrize("number", range(14))
-@pytest.mark.parametrize("reads", ["answered", "lost too"])
-def test_a_transaction_whose_answer_alone_is_lost(number, reads):
-    """Each of a course in turn: elections, duty pages, submissions, starts, ends and cancellations."""
+def small_transactions(number: int = 3, reads: str = "answered") -> tuple[Meeting, list[str]]:
+    """A course of elections, duty pages, submissions, starts, ends and cancellations in which the answer to each
+    fourteenth transaction is lost, and which nodes missed one."""
     dropped: list[str] = []
 
     def course(m: Meeting, at: float) -> None:
@@ -103,20 +103,32 @@
         m.crash(14.0, m.leads, 0.4)
         m.crash(24.0, m.leads, 3.0)
 
-    assert Meeting((course,), number, jobs=2).breaks() == []
-    assert dropped
+    return Meeting((course,), number, jobs=2), dropped
+
+
+@pytest.mark.parametrize("number", range(14))
+@pytest.mark.parametrize("reads", ["answered", "lost too"])
+def test_a_transaction_whose_answer_alone_is_lost(number, reads):
+    meeting, dropped = small_transactions(number, reads)
+    assert meeting.breaks() == [] and dropped
 
 
 # -- every team at its limit -------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("machines", ["hang", "are cut off", "don't hear", "reach nobody"])
-@pytest.mark.parametrize("after_s", [0.1, 2.0, 12.0])
-@pytest.mark.parametrize("for_s", [8.0, 45.0])
-def test_every_team_is_at_its_limit_and_cancelled_jobs_run_where_nobody_is_told(machines, after_s, for_s):
+def full_at_a_change(machines: str = "hang", after_s: float = 2.0, for_s: float = 45.0, old: bool = False) -> Meeting:
+    """Both teams are at their limits, jobs are called off whose machines can't be told, and the leader ends twice.
+
+    `old`: reports from before these machines had any task reach every node as each new leader begins.
+    """
+
     def course(m: Meeting, at: float) -> None:
         for n in range(14):
             m.submit(1.0 + 0.2 * n, f"wk-{100 + n}", pieces=4, owner=m.teams[n % 2])
+        if old:
+            m.lasts(0.0, 15.0, lambda: setattr(m, "kept_reports", 1.0), lambda: setattr(m, "kept_reports", 0.0))
+            for delay in (0.0, 0.06, 0.5, 1.5):
+                _at_each_new_leader(m, lambda delay=delay: m.scene.later(delay, deliver_everywhere, m, _idle(m)))
         m.scene.later(24.0, begin, m)
         m.crash(24.0 + after_s, m.leads, 3.0)
         m.crash(24.0 + after_s + 6.0, m.leads, 0.4)
@@ -124,26 +136,58 @@
     def begin(m: Meeting) -> None:
         used = Counter(m.scene.jobs[on.ref].spec["owner"] for on in m.scene.on())
         assert used["team"] == used["crew"] == 24  # at their limits
-        names = sorted({on.machine for on in m.scene.on() if on.ref in ("wk-100", "wk-101", "wk-102", "wk-103")})
-        nodes = [f"node-{i}" for i in range(3)]
-        hosts = [m.scene._hosts[name] for name in names] if machines == "hang" else []
-        ways = {"are cut off": "both", "don't hear": "to", "reach nobody": "from"}.get(machines, "")
-        cuts = [Cut(node, name, False) for node in nodes for name in names if ways in ("both", "to")]
-        cuts += [Cut(name, node, False) for node in nodes for name in names if ways in ("both", "from")]
-        m.scene.net.cuts += cuts
-        for host in hosts:
-            host.stand_still()
-        for ref in ("wk-100", "wk-101", "wk-102", "wk-103"):
+        called_off = ("wk-100", "wk-101", "wk-102", "wk-103")
+        names = sorted({on.machine for on in m.scene.on() if on.ref in called_off})
+        mend = _out_of_reach(m, names, machines)
+        for ref in called_off:
             m._cancel(0.05, ref)
-        m.lasts(
-            0.0, for_s, lambda: None, lambda: [host.go_on() for host in hosts] + [m.scene.net.mend(cut) for cut in cuts]
-        )
+        m.lasts(0.0, for_s, lambda: None, mend)
+
+    return Meeting((course,), 1, wide=True, jobs=0, run_s=150.0)
+
+
+def _out_of_reach(m: Meeting, names: list[str], how: str) -> Callable[[], None]:
+    """Nobody can tell these machines anything, or nobody hears them, until the returned function is called."""
+    nodes = [f"node-{i}" for i in range(3)]
+    hosts = [m.scene._hosts[name] for name in names] if how == "hang" else []
+    for host in hosts:
+        host.stand_still()
+    cuts = []
+    if how in ("are cut off", "don't hear"):
+        cuts += [Cut(node, name, False) for node in nodes for name in names]
+    if how in ("are cut off", "reach nobody"):
+        cuts += [Cut(name, node, False) for node in nodes for name in names]
+    m.scene.net.cuts += cuts
+
+    def mend() -> None:
+        for host in hosts:
+            host.go_on()
+        for cut in cuts:
+            m.scene.net.mend(cut)
 
-    meeting = Meeting((course,), 1, wide=True, jobs=0, run_s=150.0)
+    return mend
+
+
+def _idle(m: Meeting) -> list[tuple[str, bytes]]:
+    """Of the reports that were kept, each machine's latest without a task."""
+    return list({machine: (machine, body) for machine, body in m.reports if b'"pieces": []' in body}.values())
+
+
+@pytest.mark.parametrize("machines", ["hang", "are cut off", "don't hear", "reach nobody"])
+@pytest.mark.parametrize("after_s", [0.1, 2.0, 12.0])
+@pytest.mark.parametrize("for_s", [8.0, 45.0])
+def test_every_team_is_at_its_limit_and_cancelled_jobs_run_where_nobody_is_told(machines, after_s, for_s):
+    meeting = full_at_a_change(machines, after_s, for_s)
     assert meeting.breaks() == []
     assert {"wk-100", "wk-101"} <= meeting.scene.confirmed.keys()
 
 
+@pytest.mark.parametrize("machines", ["hang", "are cut off", "don't hear"])
+def test_reports_from_before_they_had_work_free_no_place_of_a_cancelled_job(machines):
+    meeting = full_at_a_change(machines, 2.0, 45.0, old=True)
+    assert len(_idle(meeting)) > 5 and meeting.breaks() == []
+
+
 # -- cancelled as one controller's work changes hands -------------------------------------------
 
 
@@ -188,10 +232,9 @@
 # -- machines up at once, writes lag, the leader ends -------------------------------------------
 
 
-@pytest.mark.parametrize("boot_s", [0.3, 2.0])
-@pytest.mark.parametrize("writes", ["late", "answers lost", "slow"])
-@pytest.mark.parametrize("after_s", [0.5, 1.2, 2.5, 5.0])
-def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(boot_s, writes, after_s):
+def quick_machines_at_a_change(boot_s: float = 0.3, writes: str = "late", after_s: float = 1.2) -> Meeting:
+    """Twelve jobs come at once, machines are up `boot_s` after their rental; the leader ends after `after_s`."""
+
     def course(m: Meeting, at: float) -> None:
         m.scene.cloud.type.update(bootS=boot_s)
         for n in range(12):
@@ -202,7 +245,14 @@
         m.crash(18.3 + after_s + 4.0, m.leads, 0.05)
         m.over += 12.0
 
-    assert Meeting((course,), 3, wide=True, jobs=0, run_s=40.0).breaks() == []
+    return Meeting((course,), 3, wide=True, jobs=0, run_s=40.0)
+
+
+@pytest.mark.parametrize("boot_s", [0.3, 2.0])
+@pytest.mark.parametrize("writes", ["late", "answers lost", "slow"])
+@pytest.mark.parametrize("after_s", [0.5, 1.2, 2.5, 3.5, 5.0])
+def test_new_machines_get_work_at_once_while_writes_lag_and_the_leader_ends(boot_s, writes, after_s):
+    assert quick_machines_at_a_change(boot_s, writes, after_s).breaks() == []
 
 
 # -- an old report at every controller as a leader begins --------------------------------------
@@ -216,7 +266,7 @@
     def course(m: Meeting, at: float) -> None:
         for n in range(4):
             m.submit(1.0, f"wk-{100 + n}", pieces=3)
-        m.lasts(10.0, 14.0, lambda: setattr(m, "kept_reports", 1.0), lambda: setattr(m, "kept_reports", 0.0))
+        m.lasts(0.0, 24.0, lambda: setattr(m, "kept_reports", 1.0), lambda: setattr(m, "kept_reports", 0.0))
         if age == "of an earlier session":
             # Long enough without an answer: all workers begin a new session.
             nodes = [f"node-{i}" for i in range(3)]
@@ -225,7 +275,7 @@
             m.scene.later(25.0, m.scene.die, 2)
         m.crash(45.0, m.leads, 3.0)
         delay = {"before the records": 0.0, "before its first report": 0.06, "later": 1.5}[moments]
-        _at_each_new_leader(m, lambda: m.scene.later(delay, deliver_everywhere, m, m.reports[-60:]))
+        _at_each_new_leader(m, lambda: m.scene.later(delay, deliver_everywhere, m, _idle(m) + m.reports[-60:]))
 
     meeting = Meeting((course,), 4, wide=True, jobs=0, run_s=40.0)
     assert meeting.reports and meeting.breaks() == []
