--- a/standins/flowlab.py
+++ b/standins/flowlab.py
@@ -25,7 +25,7 @@
 from winglift.flows import records
 from winglift.flows.graph import Node, critical, divide
 from winglift.flows.run import Run
-from winglift.model.teams import Ledger
+from winglift.model.teams import QuotaUsage
 from winglift.policy import snapshot as policy
 from winglift.policy.plan import make_plan
 from winglift.policy.split import split_deadline
@@ -351,8 +351,8 @@
                 )
             )
         if needs:
-            ledger = Ledger({t.name: t for t in SETTINGS.settings.teams})
-            plan = make_plan(policy.Snapshot(now, rooms, needs, ledger, TYPES, set()))
+            quota = QuotaUsage({t.name: t for t in SETTINGS.settings.teams})
+            plan = make_plan(policy.Snapshot(now, rooms, needs, quota, TYPES, set()))
             for ref, places in plan.starts:
                 flow, path = refs[ref]
                 box = boxes[places[0][1]]
--- a/tests/test_ends.py
+++ b/tests/test_ends.py
@@ -199,7 +199,7 @@
     )
     changes = scene.state.revision
     scene.loop.run(scene.loop.now + 0.5)
-    assert "wk-1" not in node.controller.picture.jobs and node.controller.picture.ledger.used["team"].gpus == 0
+    assert "wk-1" not in node.controller.picture.jobs and node.controller.picture.quota.used["team"].gpus == 0
     assert scene.state.revision <= changes + 1  # at most the book's page
 
 
--- a/tests/test_blame.py
+++ b/tests/test_failure_attribution.py
@@ -8,7 +8,7 @@
 
 from standins.growth import NOW, Fleet
 from winglift import constants as c
-from winglift.model import blame, records
+from winglift.model import failure_attribution, records
 from winglift.model.boots import Boots, overdue
 from winglift.model.entities import Job, Machine
 from winglift.model.machine import MachineState
@@ -34,10 +34,12 @@
     machines = [machine(f"vm-{i}") for i in range(6)]
     for job in jobs:
         for first in machines[: c.ERRORS_JOB]:
-            blame.failed(job, first)
+            failure_attribution.failed(job, first)
     for number, where in failures:
-        blame.failed(jobs[number % 2], machines[where])
-    assert all(blame.suspect(j, 100.0) for j in jobs) and not any(blame.faulty(m, 100.0) for m in machines)
+        failure_attribution.failed(jobs[number % 2], machines[where])
+    assert all(failure_attribution.suspect(j, 100.0) for j in jobs) and not any(
+        failure_attribution.faulty(m, 100.0) for m in machines
+    )
 
 
 def test_a_machine_that_fails_what_runs_elsewhere_is_found_after_two_failures():
@@ -45,10 +47,10 @@
     bad, good = machine("vm-bad"), machine("vm-good")
     job = Job("wk-1", spec("wk-1"), 0.0)
     for _ in range(c.ERRORS_SICK):
-        blame.failed(job, bad)
-    assert not blame.faulty(bad, 0.0)
-    blame.completed(job, good)
-    assert blame.faulty(bad, 0.0) and not blame.suspect(job, 0.0)
+        failure_attribution.failed(job, bad)
+    assert not failure_attribution.faulty(bad, 0.0)
+    failure_attribution.completed(job, good)
+    assert failure_attribution.faulty(bad, 0.0) and not failure_attribution.suspect(job, 0.0)
 
 
 def test_a_job_that_met_two_faulty_machines_is_suspected_no_longer_once_they_are_found():
@@ -56,21 +58,21 @@
     job, others = Job("wk-1", spec("wk-1"), 0.0), [Job(f"wk-{n}", spec(f"wk-{n}"), 0.0) for n in (2, 3)]
     bad = [machine("vm-1"), machine("vm-2")]
     for host, other in zip(bad, others, strict=True):
-        blame.failed(job, host)
+        failure_attribution.failed(job, host)
         other.proven = True
         for _ in range(c.ERRORS_SICK):
-            blame.failed(other, host)
+            failure_attribution.failed(other, host)
     job.not_before = 90.0
-    assert blame.suspect(job, 1.0) and all(blame.faulty(m, 1.0) for m in bad)
-    blame.found_faulty(bad[0], 1.0)
-    assert not blame.suspect(job, 1.0) and job.not_before == 1.0
+    assert failure_attribution.suspect(job, 1.0) and all(failure_attribution.faulty(m, 1.0) for m in bad)
+    failure_attribution.found_faulty(bad[0], 1.0)
+    assert not failure_attribution.suspect(job, 1.0) and job.not_before == 1.0
 
 
 def test_two_jobs_that_failed_nowhere_else_speak_against_the_machine():
     bad = machine("vm-bad")
     for number in range(c.ERRORS_SICK):
-        blame.failed(Job(f"wk-{number}", spec(f"wk-{number}"), 0.0), bad)
-    assert blame.faulty(bad, 0.0)
+        failure_attribution.failed(Job(f"wk-{number}", spec(f"wk-{number}"), 0.0), bad)
+    assert failure_attribution.faulty(bad, 0.0)
 
 
 def fail(picture: Picture, job: Job, index: int, name: str, seq: int, now: float) -> None:
@@ -128,11 +130,11 @@
         victims=[p.Victim("wk-8", 0, job.priority.LOW, "blue", 5.0, 1.0, 20.0, 3.0, 1)],
     )
     free = p.Room("vm-2", TYPE, "a", False, 32.0, 4.0, 256.0)
-    ledger = Picture(settings(), {}, 1).ledger
+    quota = Picture(settings(), {}, 1).quota
 
     def plan(rooms, **changes):
         need = p.Need("wk-1", job, [0], 1000.0, 60.0, {}, **changes)
-        return make_plan(p.Snapshot(1000.0, rooms, [need], ledger, {"g4": TYPE}, set()))
+        return make_plan(p.Snapshot(1000.0, rooms, [need], quota, {"g4": TYPE}, set()))
 
     assert plan([busy]).stops
     probe = plan([busy], probe=True)
@@ -163,7 +165,7 @@
     need = p.Need("wk-1", spec("wk-1", tasks=1, gpus=4.0), [0], 0.0, 60.0, {})
 
     def zones(dark):
-        snap = p.Snapshot(1000.0, [], [], Picture(settings(), {}, 1).ledger, {"g4": TYPE}, set(), dark=dark)
+        snap = p.Snapshot(1000.0, [], [], Picture(settings(), {}, 1).quota, {"g4": TYPE}, set(), dark=dark)
         renting = Renting(snap, p.Plan(), [])
         rooms = [renting.rent(need, {}) for _ in range(4)]
         return [r.zone for r in rooms if r is not None]
@@ -190,9 +192,9 @@
     lab = Fleet(20)
     picture, job = lab.picture, lab.picture.jobs[lab.job(Kind.ARRAY, 3, 1.0, 4.0)]
     for name in list(picture.machines)[:machines]:
-        blame.failed(job, picture.machines[name])
+        failure_attribution.failed(job, picture.machines[name])
     job.failures = failures
-    pause = blame.pause_s(job, 0.0)
+    pause = failure_attribution.pause_s(job, 0.0)
     assert pause + c.SOUND_RUN_S + c.IDLE_CYCLE_S < 90.0 and pause < c.AVOID_S
     view = lab.fresh_view()
     job.not_before = lab.now + pause
@@ -222,5 +224,5 @@
             machine=f"vm-{i}", addr="", type="g4", zone="a", spot=False, session=1, seq=1, token=1, tasks=[failed]
         )
         on_report(picture, report, 10.0 + when)
-    assert blame.suspect(job, 20.0)
+    assert failure_attribution.suspect(job, 20.0)
     assert job.not_before <= 10.0 + max(times) + 8.0
--- a/tests/test_care.py
+++ b/tests/test_failure_detector.py
@@ -16,9 +16,9 @@
 from winglift.model.machine import MachineState
 from winglift.model.picture import Picture
 from winglift.model.recorded import apply_record
-from winglift.model.teams import Ledger
+from winglift.model.teams import QuotaUsage
 from winglift.net.client import Client, NotSent, Reply
-from winglift.policy.care import Care
+from winglift.policy.failure_detector import FailureDetector
 from winglift.policy.renting import Renting
 from winglift.policy.snapshot import Need, Plan, Snapshot
 from winglift.wire.users import Kind
@@ -28,7 +28,7 @@
 LEASE_S, REPORT_S = WORKERS.lease_s, WORKERS.report_s
 
 
-def fleet(holds: dict[str, Kind], attended: str = "a") -> tuple[Picture, Care]:
+def fleet(holds: dict[str, Kind], attended: str = "a") -> tuple[Picture, FailureDetector]:
     """Machines vm-a0 to vm-a5 and vm-b0 to vm-b5, heard at time 0, some holding a task of a kind; led for long."""
     picture = Picture(settings(), {"g4": TYPE}, 1)
     for zone in "ab":
@@ -40,12 +40,14 @@
             submitted=0.0, spec=spec(f"wk-{number}", kind=kind, tasks=1), next_attempt=2, places=[(name, 1, "0")]
         )
         apply_record(picture, f"wk-{number}", 10 + number, record, -400.0)
-    care = Care(picture, WORKERS, 0.0, attended)
-    care.entitled_since = -300.0
-    return picture, care
+    failure_detector = FailureDetector(picture, WORKERS, 0.0, attended)
+    failure_detector.entitled_since = -300.0
+    return picture, failure_detector
 
 
-def given_up(picture: Picture, care: Care, heard: str, until: float, hears_all: bool = True) -> dict[str, float]:
+def given_up(
+    picture: Picture, failure_detector: FailureDetector, heard: str, until: float, hears_all: bool = True
+) -> dict[str, float]:
     """When which machine is given up, if only those whose name begins with one of `heard` go on reporting."""
     found: dict[str, float] = {}
     now = 0.0
@@ -54,30 +56,30 @@
         for machine in picture.machines.values():
             if machine.name.startswith(tuple(heard.split())):
                 machine.last_heard = now
-        for machine, _ in care.look(now, 1e9 + now, True, hears_all).give_up:
+        for machine, _ in failure_detector.look(now, 1e9 + now, True, hears_all).give_up:
             found.setdefault(machine.name, now)
     return found
 
 
 def test_in_a_cut_zone_without_a_node_replicas_move_once_they_are_surely_dead():
-    picture, care = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY})
-    found = given_up(picture, care, "vm-a", 60.0)
+    picture, failure_detector = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY})
+    found = given_up(picture, failure_detector, "vm-a", 60.0)
     assert LEASE_S < found["vm-b0"] <= LEASE_S + 1.5
     # Dead as well, but when the cut ends its machine and images are there.
     assert found["vm-b1"] > 2 * LEASE_S and set(found) == {f"vm-b{i}" for i in range(6)}
-    assert care.cut == {"b"}
+    assert failure_detector.cut == {"b"}
 
 
 @pytest.mark.parametrize("attended,hears_all", [("ab", True), ("a", False)])
 def test_a_cut_zone_is_spared_while_a_node_may_be_keeping_it_alive(attended, hears_all):
-    picture, care = fleet({"vm-b0": Kind.SERVICE}, attended)
-    assert given_up(picture, care, "vm-a", 5 * LEASE_S, hears_all) == {}
+    picture, failure_detector = fleet({"vm-b0": Kind.SERVICE}, attended)
+    assert given_up(picture, failure_detector, "vm-a", 5 * LEASE_S, hears_all) == {}
 
 
 @given(st.lists(st.floats(0.0, 1.25), min_size=6, max_size=6), st.lists(st.floats(0.0, 0.9), min_size=6, max_size=6))
 def test_the_first_machines_of_a_cut_are_not_taken_for_lone_ones(phases, steps):
     """Their last reports lie up to 1.25 intervals apart. A node in there keeps all of them alive."""
-    picture, care = fleet({f"vm-b{i}": Kind.SERVICE for i in range(6)}, "ab")
+    picture, failure_detector = fleet({f"vm-b{i}": Kind.SERVICE for i in range(6)}, "ab")
     for i, phase in enumerate(phases):
         picture.machines[f"vm-b{i}"].last_heard = -phase * REPORT_S
         picture.machines[f"vm-b{i}"].unanswered = 0.5 * REPORT_S
@@ -86,14 +88,14 @@
         now += step * REPORT_S
         for i in range(6):
             picture.machines[f"vm-a{i}"].last_heard = now
-        assert not care.look(now, 1e9, True, True).give_up
+        assert not failure_detector.look(now, 1e9, True, True).give_up
 
 
 def test_a_successor_goes_on_counting_the_silence_of_a_zone_that_is_cut():
     """It once waited a whole lease anew: the replicas had been dead for that long when it began."""
-    picture, care = fleet({"vm-b0": Kind.SERVICE})
-    given_up(picture, care, "vm-a", LEASE_S - 1)
-    told = {m.name: LEASE_S - 1 - (m.last_heard or 0.0) for m in care.quiet(LEASE_S - 1)}
+    picture, failure_detector = fleet({"vm-b0": Kind.SERVICE})
+    given_up(picture, failure_detector, "vm-a", LEASE_S - 1)
+    told = {m.name: LEASE_S - 1 - (m.last_heard or 0.0) for m in failure_detector.quiet(LEASE_S - 1)}
     assert set(told) == {f"vm-b{i}" for i in range(6)}
     after = Picture(settings(), {"g4": TYPE}, 2)
     after.silent_since = {name: LEASE_S - 1 - seconds for name, seconds in told.items()}
@@ -102,7 +104,7 @@
         apply_record(after, ref, job.version, record, LEASE_S)
     for name in picture.machines:
         after.adopt(name, "g4", name[3], False, LEASE_S, 0.0)
-    later = Care(after, WORKERS, 0.0, "a")
+    later = FailureDetector(after, WORKERS, 0.0, "a")
     later.entitled_since = LEASE_S
     for name in ("vm-a0", "vm-a1", "vm-a2", "vm-a3", "vm-a4", "vm-a5"):
         after.machines[name].last_heard = LEASE_S + c.FIND_NODE_S
@@ -114,24 +116,24 @@
 
 @given(st.integers(0, 40))
 def test_a_lone_silent_machine_is_asked_and_given_up_early_only_if_it_does_not_answer(heard_for):
-    picture, care = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY, "vm-b2": Kind.GANG})
+    picture, failure_detector = fleet({"vm-b0": Kind.SERVICE, "vm-b1": Kind.ARRAY, "vm-b2": Kind.GANG})
     last = heard_for / 10
     for machine in picture.machines.values():
         machine.last_heard = last
     others = "vm-a vm-b3 vm-b4 vm-b5"
-    assert not given_up(picture, care, others, last + c.PROBE_REPORTS * REPORT_S)
+    assert not given_up(picture, failure_detector, others, last + c.PROBE_REPORTS * REPORT_S)
     now = last + c.PROBE_REPORTS * REPORT_S + 0.6
     for machine in picture.machines.values():
         if machine.name.startswith(tuple(others.split())):
             machine.last_heard = now
-    asked = care.look(now, 1e9, True, True).ask
+    asked = failure_detector.look(now, 1e9, True, True).ask
     assert {m.name for m in asked} == {"vm-b0", "vm-b1", "vm-b2"}
     picture.machines["vm-b0"].unanswered = picture.machines["vm-b1"].unanswered = now
     picture.machines["vm-b2"].last_heard = now  # it has answered
     soon = last + c.SILENT_REPORTS * REPORT_S + 0.1
-    assert [m.name for m, _ in care.look(soon, 1e9, True, True).give_up] == ["vm-b0"]
+    assert [m.name for m, _ in failure_detector.look(soon, 1e9, True, True).give_up] == ["vm-b0"]
     # While a node is out of hearing it may be the one that hears the machine.
-    assert not care.look(soon, 1e9, True, False).give_up
+    assert not failure_detector.look(soon, 1e9, True, False).give_up
 
 
 @pytest.mark.parametrize(
@@ -177,7 +179,7 @@
 
 def test_the_last_machines_to_find_another_node_are_not_given_up():
     """Workers whose node was cut off from them come back one by one, over two tries of 5 s."""
-    picture, care = fleet({f"vm-b{i}": Kind.SERVICE for i in range(6)}, "ab")
+    picture, failure_detector = fleet({f"vm-b{i}": Kind.SERVICE for i in range(6)}, "ab")
     now = 0.0
     while now < 11.0:
         now += 0.5
@@ -187,14 +189,14 @@
                 picture.machines[f"vm-b{i}"].last_heard = now
             elif now > 2.0:
                 picture.machines[f"vm-b{i}"].unanswered = now
-        assert not care.look(now, 1e9, True, True).give_up
+        assert not failure_detector.look(now, 1e9, True, True).give_up
 
 
 def test_nothing_is_rented_in_a_zone_that_is_cut_off():
     """With its machines out of reach it looked like the emptiest zone."""
 
     def zones(cut: frozenset[str]) -> set[str]:
-        snap = Snapshot(0.0, [], [], Ledger({}), {"g4": TYPE}, set(), cut=cut)
+        snap = Snapshot(0.0, [], [], QuotaUsage({}), {"g4": TYPE}, set(), cut=cut)
         renting = Renting(snap, Plan(), [])
         rooms = [renting.rent(Need("wk-1", spec(), [0], 1e9, 1.0, {}), {}) for _ in range(4)]
         return {r.zone for r in rooms if r is not None}
--- a/tests/test_finals.py
+++ b/tests/test_finals.py
@@ -140,7 +140,7 @@
 def test_an_end_that_no_node_remembers_is_read_as_it_was_told(monkeypatch):
     """Nodes keep ends in mind, which hides what the record says. Here each answer is read from the record."""
     monkeypatch.setattr("winglift.constants.ENDS_CACHED", 0)
-    monkeypatch.setattr("winglift.constants.MIRROR_MOST", 1)
+    monkeypatch.setattr("winglift.constants.READ_CACHE_RECORDS", 1)
     for write, fault in itertools.product(WRITES, ("", "the leader ends", "all end")):
         assert not Play(write, fault, 0.05, 0.5).broken, (write, fault)
 
--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -59,7 +59,7 @@
 
 def test_a_stale_answer_would_be_seen(monkeypatch):
     """Without the look that is sent after the question, a node tells what it knew."""
-    from winglift.store.mirror import Mirror
+    from winglift.store.read_cache import ReadCache
 
     async def known(self, ref):  # type: ignore[no-untyped-def]
         if ref not in self._known:
@@ -69,7 +69,7 @@
 
     from winglift.model.records import decode as _decode
 
-    monkeypatch.setattr(Mirror, "get", known)
+    monkeypatch.setattr(ReadCache, "get", known)
     assert any("over since" in found for found in Meeting((close_looks,), 1, wide=True).breaks())
 
 
--- a/tests/test_kinds.py
+++ b/tests/test_kinds.py
@@ -19,7 +19,7 @@
 from winglift.model.entities import Machine
 from winglift.model.machine import MachineState
 from winglift.model.picture import Picture
-from winglift.model.teams import Ledger
+from winglift.model.teams import QuotaUsage
 from winglift.net.client import Reply
 from winglift.net.outside import steady
 from winglift.node import Node
@@ -80,8 +80,10 @@
 
 def snapshot(rooms, needs, types=TYPES, **changes) -> p.Snapshot:
     config = settings().settings
-    ledger = Ledger({t.name: msgspec.structs.replace(t, cpus=0, gpus=0, cpus_max=0, gpus_max=0) for t in config.teams})
-    return p.Snapshot(1000.0, rooms, needs, ledger, types, set(), **changes)
+    quota = QuotaUsage(
+        {t.name: msgspec.structs.replace(t, cpus=0, gpus=0, cpus_max=0, gpus_max=0) for t in config.teams}
+    )
+    return p.Snapshot(1000.0, rooms, needs, quota, types, set(), **changes)
 
 
 def need(job, count: int = 1, due: float = 1300.0, run_s: float = 50.0) -> p.Need:
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -82,10 +82,10 @@
 
 def test_silence_during_an_outage_is_not_held_against_machines():
     made, deleted = leader(True, [(f"vm-{i}", "a", 960.0) for i in range(6)] + [("vm-9", "b", 999.9)])
-    made.care.entitled_since = 999.0
+    made.failure_detector.entitled_since = 999.0
     check(made)
     assert deleted == []
-    made.care.entitled_since = 900.0
+    made.failure_detector.entitled_since = 900.0
     made.picture.machines["vm-0"].last_heard = 905.0
     check(made)
     assert deleted == ["vm-0"]
@@ -138,11 +138,11 @@
         made, _ = leader(True, [(name, name[3], None) for name in ("vm-a1", "vm-a2", "vm-b1", "vm-b2")])
         for machine in made.picture.machines.values():
             machine.known_since = 1000.0
-        made.care.look(1000.0, 1e9, True, True)
+        made.failure_detector.look(1000.0, 1e9, True, True)
         for name, when in heard.items():
             made.picture.machines[name].last_heard = when
-        made.care.look(now, 1e9, True, True)
-        return made.care
+        made.failure_detector.look(now, 1e9, True, True)
+        return made.failure_detector
 
     assert at(1000.2, {}).awaits_all
     one = at(1000.2, {"vm-a1": 1000.1})
@@ -151,4 +151,4 @@
     assert not both.unheard and not both.awaits_all
     later = at(1003.5, {"vm-a1": 1003.4, "vm-a2": 1003.4})
     assert not later.unheard and later.cut == {"b"}
-    assert not leader(True, [])[0].care.awaits_all
+    assert not leader(True, [])[0].failure_detector.awaits_all
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -25,7 +25,7 @@
 from winglift.model.recorded import apply_record
 from winglift.net.client import Reply
 from winglift.store.client import Refused
-from winglift.store.mirror import Mirror
+from winglift.store.read_cache import ReadCache
 from winglift.wire import cloud as wire
 from winglift.wire import workers as w
 from winglift.workers.commands import Stopper
@@ -87,8 +87,8 @@
     async def scenario() -> object:
         state = FakeState(random.Random(1))
         state.put("wk-1", 3)
-        mirror: Mirror[int] = Mirror(state, lambda ref, record: record.low, 0.0)  # type: ignore[arg-type]
-        assert await mirror.get("wk-1") == 3
+        read_cache: ReadCache[int] = ReadCache(state, lambda ref, record: record.low, 0.0)  # type: ignore[arg-type]
+        assert await read_cache.get("wk-1") == 3
         answer = state.changes
 
         async def late(*args, **kwargs):
@@ -98,7 +98,7 @@
 
         state.changes = late  # type: ignore[method-assign]
         try:
-            return await mirror.get("wk-1")
+            return await read_cache.get("wk-1")
         except Refused:
             return None
 
--- a/tests/test_picture.py
+++ b/tests/test_picture.py
@@ -14,7 +14,7 @@
 from winglift.model.recorded import apply_record, committed
 from winglift.model.reported import on_report, orders
 from winglift.model.task import TRANSITIONS, TaskEvent, TaskState, WrongEvent, next_state
-from winglift.policy.care import Care
+from winglift.policy.failure_detector import FailureDetector
 from winglift.store.batcher import pack
 from winglift.wire import workers as w
 from winglift.wire.users import Kind
@@ -83,8 +83,8 @@
         self.picture = Picture(settings(), {"g4": TYPE}, self.term)
         for ref, (version, record) in self.store.items():
             apply_record(self.picture, ref, version, record, self.now)
-        self.care = Care(self.picture, settings().settings.workers, 0.0, "a")
-        self.care.entitled_since = self.now
+        self.failure_detector = FailureDetector(self.picture, settings().settings.workers, 0.0, "a")
+        self.failure_detector.entitled_since = self.now
 
     def put(self, ref: str, record: records.JobRecord) -> int:
         self.version += 1
@@ -182,7 +182,7 @@
     def judge(self, seconds, hears_all, answered):
         """The leader gives machines up; the deletion is carried out, and perhaps answered."""
         self.now += seconds
-        for machine, _ in self.care.look(self.now, 1e9 + self.now, True, hears_all).give_up:
+        for machine, _ in self.failure_detector.look(self.now, 1e9 + self.now, True, hears_all).give_up:
             self.workers.pop(machine.name, None)
             if answered:
                 self.picture.machine_gone(machine, self.now)
@@ -191,7 +191,7 @@
     def stands_still(self, seconds):
         """The leader wakes after a pause, still entitled or again."""
         self.now += seconds
-        self.care.entitled_since = self.now
+        self.failure_detector.entitled_since = self.now
 
     @rule()
     def late_report(self):
@@ -241,7 +241,7 @@
     def books_are_right(self):
         for team in ("red", "blue"):
             held = [t for j in self.picture.jobs.values() for t in j.active.values() if j.spec.team == team]
-            assert abs(self.picture.ledger.used[team].gpus - sum(t.job.spec.gpus for t in held)) < 1e-6
+            assert abs(self.picture.quota.used[team].gpus - sum(t.job.spec.gpus for t in held)) < 1e-6
             really = sum(
                 2.0
                 for o in self.workers.values()
@@ -304,7 +304,7 @@
 def test_a_deleted_machine_with_two_unsent_members_of_a_gang_frees_both():
     picture, _, _ = two_on_one_machine(2)
     picture.machine_gone(picture.machines["vm-0"], 1.0)
-    assert not picture.jobs["wk-1"].active and picture.ledger.used["red"].gpus == 0
+    assert not picture.jobs["wk-1"].active and picture.quota.used["red"].gpus == 0
 
 
 def test_every_task_state_can_end_and_gone_is_final():
@@ -347,7 +347,7 @@
     """Records may name more places than the limit allows: one was free and given away, and its record did not say so
     yet when all nodes ended. What does not run is started again only as far as the limit goes; what runs goes on."""
     picture = Picture(settings(), {"g4": TYPE}, 2)
-    limit = int(picture.ledger.teams["red"].gpus_max)
+    limit = int(picture.quota.teams["red"].gpus_max)
     running = [n for n, (_, runs) in enumerate(places) if runs][:limit]
     for n, (machine, _) in enumerate(places):
         record = records.JobRecord(
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -65,7 +65,7 @@
     def plan(patient: bool, rooms: list[p.Room]) -> p.Plan:
         need = p.Need("wk-1", job, [0, 1], 1500.0, 60.0, {}, within=True, patient=patient)
         snap = snapshot(rooms, [need])
-        snap.ledger.add(spec("wk-9", team="blue", gpus=1.0), 9)  # blue borrows
+        snap.quota.add(spec("wk-9", team="blue", gpus=1.0), 9)  # blue borrows
         return make_plan(snap)
 
     assert not plan(True, [busy]).stops and not plan(True, [busy]).rentals
@@ -213,7 +213,7 @@
     ]
     others = [full(f"o{i}", [task("wk-7", 10 * i, False)], zone="b") for i in range(borrowed_elsewhere)]
     snap = snapshot(whole + others, [gang_of(2, late=late)])
-    snap.ledger.add(spec("wk-9", team="blue", gpus=1.0), 30)  # blue borrows
+    snap.quota.add(spec("wk-9", team="blue", gpus=1.0), 30)  # blue borrows
     plan = make_plan(snap)
     enough = late and borrowed_elsewhere >= 2 * owed
     assert len(plan.stops) == (8 if enough else 0)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from winglift.model.teams import Ledger
+from winglift.model.teams import QuotaUsage
 from winglift.policy import snapshot as p
 from winglift.policy.board import Board
 from winglift.policy.plan import make_plan
@@ -117,8 +117,8 @@
                 within=draw(st.booleans()),
             )
         )
-    ledger = Ledger({t.name: t for t in settings().settings.teams})
-    return p.Snapshot(1000.0, rooms, needs, ledger, {"g4": TYPE}, set())
+    quota = QuotaUsage({t.name: t for t in settings().settings.teams})
+    return p.Snapshot(1000.0, rooms, needs, quota, {"g4": TYPE}, set())
 
 
 @given(snapshots())
@@ -192,7 +192,7 @@
 @given(snapshots())
 def test_the_ordered_offers_stop_what_a_look_at_every_machine_would(snap):
     for need in snap.needs:
-        preemption = Preemption(snap.ledger, p.Plan())
+        preemption = Preemption(snap.quota, p.Plan())
         offers, placed = Offers(preemption, need, snap.rooms), {}
         while True:
             plain = None
@@ -265,7 +265,9 @@
 
 
 def snapshot(rooms, needs):
-    return p.Snapshot(1000.0, rooms, needs, Ledger({t.name: t for t in settings().settings.teams}), {"g4": TYPE}, set())
+    return p.Snapshot(
+        1000.0, rooms, needs, QuotaUsage({t.name: t for t in settings().settings.teams}), {"g4": TYPE}, set()
+    )
 
 
 def test_the_earliest_sub_deadline_goes_first():
@@ -313,7 +315,7 @@
     """Two teams within their guarantees once stopped each other's tasks every second: 2,052 stops in a quiet day."""
     busy = full("m", [p.Victim("wk-8", n, Priority.NORMAL, "blue", 5.0, 1.0, 20.0, 3.0, 1, True) for n in range(4)])
     snap = snapshot([busy], [p.Need("wk-1", spec("wk-1", tasks=1), [0], 1000.0, 60.0, {}, within=True)])
-    snap.ledger.add(spec(team="blue"), 6)
+    snap.quota.add(spec(team="blue"), 6)
     assert make_plan(snap).stops == []
     busy.victims[2] = p.Victim("wk-8", 2, Priority.NORMAL, "blue", 5.0, 1.0, 20.0, 3.0, 1, False)
     assert [s[:2] for s in make_plan(snap).stops] == [("wk-8", 2)]
@@ -361,7 +363,7 @@
     busy = full("m1", [p.Victim("wk-8", n, Priority.NORMAL, "red", 5.0, 1.0, 20.0, 3.0, 1) for n in range(4)])
     job = spec("wk-1", tasks=1, kind=Kind.SERVICE, priority=Priority.PRODUCTION)
     snap = snapshot([busy, room("m2")], [p.Need("wk-1", job, [0], 1000.0, 0.0, {})])
-    snap.ledger.add(spec(), 10)
+    snap.quota.add(spec(), 10)
     assert len(make_plan(snap).stops) == 1
 
 
@@ -370,11 +372,11 @@
     gang = p.Need("wk-1", spec("wk-1", tasks=2, gpus=2.0, kind=Kind.GANG), [0, 1], 1000.0, 60.0, {})
     small = p.Need("wk-2", spec("wk-2", tasks=1, priority=Priority.LOW), [0], 1000.0, 60.0, {})
     snap = snapshot([busy, room("m2")], [gang, small])
-    snap.ledger.add(spec(), 7)
+    snap.quota.add(spec(), 7)
     plan = make_plan(snap)
     assert plan.starts == [] and len(plan.stops) == 1
     snap = snapshot([full("m1", busy.victims[:1]), room("m2")], [gang])
-    snap.ledger.add(spec(), 10)
+    snap.quota.add(spec(), 10)
     assert make_plan(snap).stops == []
 
 
--- a/tests/test_mirror.py
+++ b/tests/test_read_cache.py
@@ -1,4 +1,4 @@
-"""The mirror of job records under generated histories: no answer is older than the question."""
+"""The read cache of job records under generated histories: no answer is older than the question."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from winglift.model import records
 from winglift.store.client import Refused, TooOld
 from winglift.store.election import Election
-from winglift.store.mirror import Mirror
+from winglift.store.read_cache import ReadCache
 from winglift.wire import state as wire
 
 
@@ -78,12 +78,12 @@
 def test_no_answer_is_older_than_the_question(seed, steps):
     async def scenario() -> None:
         state = FakeState(random.Random(seed))
-        mirror: Mirror[int] = Mirror(state, lambda ref, record: record.low, 0.0)  # type: ignore[arg-type]
+        read_cache: ReadCache[int] = ReadCache(state, lambda ref, record: record.low, 0.0)  # type: ignore[arg-type]
         low = dict.fromkeys(range(2), 0)
 
         async def ask(job: int, least: int) -> None:
             try:
-                found = await mirror.get(f"wk-{job}")
+                found = await read_cache.get(f"wk-{job}")
             except Refused:
                 return
             assert (found or 0) >= least
--- a/tests/test_successors.py
+++ b/tests/test_successors.py
@@ -22,7 +22,7 @@
 from winglift.model.machine import MachineEvent, MachineState
 from winglift.model.picture import Picture
 from winglift.model.recorded import apply_record
-from winglift.policy.care import Care
+from winglift.policy.failure_detector import FailureDetector
 from winglift.store.batcher import pack
 from winglift.store.client import Health
 from winglift.store.election import Election
@@ -56,10 +56,10 @@
     def __init__(self, began: float, steady0: float, skew_s: float, value: bytes) -> None:
         self.steady0, self.skew_s = steady0, skew_s
         self.picture = Picture(settings(), {"g4": TYPE}, 1)
-        self.care = Care(self.picture, WORKERS, SKEW_S, "ab")
+        self.failure_detector = FailureDetector(self.picture, WORKERS, SKEW_S, "ab")
         self.began = began
         apply_record(self.picture, "wk-1", 11, records.decode(value), self.steady(began))
-        self.care.entitled_since = self.steady(began)
+        self.failure_detector.entitled_since = self.steady(began)
 
     def steady(self, true: float) -> float:
         return self.steady0 + true
@@ -68,7 +68,7 @@
         for name, zone in (("vm-1", "a"), ("vm-2", "b")):  # others are heard, so this leader is not deaf
             machine = self.picture.adopt(name, "g4", zone, False, self.steady(true), 90.0)
             machine.state, machine.last_heard = MachineState.UP, self.steady(true)
-        found = self.care.look(self.steady(true), EPOCH + true + self.skew_s, True, True)
+        found = self.failure_detector.look(self.steady(true), EPOCH + true + self.skew_s, True, True)
         return next((why for machine, why in found.give_up if machine.name == "vm-9"), None)
 
 
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -13,7 +13,7 @@
 from ..model.teams import exceeds_limit
 from ..net.outside import steady, wall
 from ..store.client import Health, LeaseGone, Refused, StateClient, Unknown
-from ..store.mirror import Mirror
+from ..store.read_cache import ReadCache
 from ..wire import state as wire
 from ..wire.cloud import MachineType
 from ..wire.users import JobStatus, StatusReply, Submission, encode
@@ -79,7 +79,7 @@
         self._on_seen = on_seen  # a record that anybody has committed, as users are told of it here
         self._ends: OrderedDict[str, StatusReply] = OrderedDict()
         looks = settings.settings.state.rps * state.follower_share() * c.LOOK_SHARE
-        self._mirror: Mirror[StatusReply] = Mirror(
+        self._read_cache: ReadCache[StatusReply] = ReadCache(
             state, lambda ref, record: status_of(record, ref), 1 / looks, on_seen
         )
 
@@ -107,7 +107,7 @@
         if end is not None:
             return end
         try:
-            reply = await self._mirror.get(ref)
+            reply = await self._read_cache.get(ref)
         except (Refused, Unknown) as err:
             raise self._down(str(err)) from None
         if reply is not None:
@@ -152,7 +152,7 @@
                 raise NotNow("the state service contradicts itself")
             return 200, known
         # Told only now, after the commit (invariant 4).
-        self._mirror.note(spec.ref, result.revision, record)
+        self._read_cache.note(spec.ref, result.revision, record)
         self._on_change(spec.ref, result.revision, record)
         if steady() - sent > c.SUBMIT_TIMEOUT_S + c.LOOK_FRESH_S:
             # A copy of the request may have been answered elsewhere, and the job be over: it is looked up.
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -47,7 +47,7 @@
 RETRY_AFTER_DOWN_S = 2  # s; told to a user while the state service is down
 LOOK_SHARE = 0.5  # of a follower's requests; looks at the changes, each for all users who ask meanwhile
 LOOK_FRESH_S = 1.0  # s from sending a look until its answer is too old to be told; a look takes 10 to 300 ms
-MIRROR_MOST = 20_000  # records whose state a node keeps in mind; some 300 bytes each
+READ_CACHE_RECORDS = 20_000  # records whose state a node keeps in mind; some 300 bytes each
 ENDS_CACHED = 20_000  # ended jobs remembered per node; an end never changes
 CANCEL_TRIES = 8  # conflicts with other writers before a cancellation is refused for now
 
--- a/winglift/controller/handover.py
+++ b/winglift/controller/handover.py
@@ -11,7 +11,7 @@
 from .. import constants as c
 from ..cloud.inventory import Inventory
 from ..duties.page import Page, pack_names, unpack_names
-from ..model.blame import suspect
+from ..model.failure_attribution import suspect
 from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
 from ..model.records import BadRecord
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -25,7 +25,7 @@
 from ..model.task import PRESENT, TaskState
 from ..net.outside import steady, wall
 from ..policy import snapshot as policy
-from ..policy.care import Care, heard_at
+from ..policy.failure_detector import FailureDetector, heard_at
 from ..policy.plan import make_plan
 from ..policy.renting import merge_rentals
 from ..store.batcher import Batcher
@@ -83,7 +83,7 @@
         self.leaving = Leaving(self.picture, self.inventory, script, settings.settings.workers)
         self.handover = Handover(self.picture, self.inventory, self.leaving, self.view)
         self.book.notes = lambda page: self.handover.note(page, steady(), wall())
-        self.care = Care(
+        self.failure_detector = FailureDetector(
             self.picture,
             settings.settings.workers,
             settings.settings.skew_ms / 1000,
@@ -182,7 +182,7 @@
 
     def _may_rent(self) -> bool:
         """Whatever was rented before is known: by the book what is too new for the list, by the list the rest."""
-        return self.duties.may(Name.CLOUD, steady()) and not self.care.awaits_all
+        return self.duties.may(Name.CLOUD, steady()) and not self.failure_detector.awaits_all
 
     def take_job(self, ref: str, version: int, record: records.JobRecord) -> None:
         """A record that this node or another has committed."""
@@ -274,12 +274,12 @@
         """Is this node entitled, and since when without a break? A pause of its own ends that too."""
         if not self.me.entitled(now) or now > self._next_pass + c.PAUSE_S:
             # Reports wait unread in the sockets when a node wakes: what it has not heard is not the workers' silence.
-            self.care.entitled_since = None
+            self.failure_detector.entitled_since = None
         self._next_pass = now + c.IDLE_CYCLE_S
         if not self.me.entitled(now):
             return False
-        if self.care.entitled_since is None:
-            self.care.entitled_since = now
+        if self.failure_detector.entitled_since is None:
+            self.failure_detector.entitled_since = now
         return True
 
     def ends_only(self) -> bool:
@@ -296,7 +296,7 @@
 
     def _see_to_ends(self, now: float) -> None:
         self._check_jobs(now)
-        for machine, why in self.care.held_ends(now, wall()):
+        for machine, why in self.failure_detector.held_ends(now, wall()):
             self.inventory.delete(machine, why)
 
     def _step(self, now: float) -> None:
@@ -310,15 +310,17 @@
             # Reserves, returns and moves can wait a second; only waiting tasks are planned for at every change.
             if idle or any(job.has_waiting for job in picture.jobs.values()):
                 self._last_plan = now
-                cut = self.care.cut | self.care.unheard
-                snap = self.view.snapshot(now, self.leaving.may_move(now), cut, self.care.attended)
+                cut = self.failure_detector.cut | self.failure_detector.unheard
+                snap = self.view.snapshot(now, self.leaving.may_move(now), cut, self.failure_detector.attended)
                 self._apply(make_plan(snap), now)
             self.leaving.drain(now)
         self.batcher.flush()
         if now >= self._next_word:
             self._next_word = now + c.FLEET_EVERY_S
             images = {m.name: dict(m.images) for m in picture.machines.values() if m.images}
-            self.link.tell_fleet(back.Fleet(images, {m.name: now - heard_at(m) for m in self.care.quiet(now)}))
+            self.link.tell_fleet(
+                back.Fleet(images, {m.name: now - heard_at(m) for m in self.failure_detector.quiet(now)})
+            )
             if self.keeper.due(now):
                 self.keeper.save(images, now)
 
@@ -336,7 +338,7 @@
 
     def _check_machines(self, now: float) -> None:
         hears_anyone = not self.link.peers or self.link.hears_anyone(now)
-        found = self.care.look(now, wall(), hears_anyone, self.link.hears_all(now))
+        found = self.failure_detector.look(now, wall(), hears_anyone, self.link.hears_all(now))
         if found.deaf:
             self.duties.give_up()
             asyncio.ensure_future(self.election.resign("hears neither workers nor other nodes"))
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -12,8 +12,8 @@
 from ..cloud.inventory import Inventory
 from ..config.script import Script
 from ..config.settings import Settings
-from ..model.blame import suspect
 from ..model.entities import Job, Load, Machine
+from ..model.failure_attribution import suspect
 from ..model.job import JobState
 from ..model.machine import MachineState
 from ..model.picture import Picture, zone_counts
@@ -126,7 +126,7 @@
             now=today,
             rooms=rooms,
             needs=needs,
-            ledger=picture.ledger,
+            quota=picture.quota,
             types=self.types,
             refused=self.inventory.refused_now(now),
             reserves=warm_reserves(self._aims, self.recent, self.types, self.script, today),
@@ -147,7 +147,7 @@
         """Of these, in the order of their submission: those that their teams' guarantees cover beside the earlier."""
         within: set[str] = set()
         sums: dict[str, tuple[float, float]] = {}
-        covers = self.picture.ledger.within_guarantee
+        covers = self.picture.quota.within_guarantee
         for job in jobs:
             spec, tasks = job.spec, job.unfinished()
             before = sums.get(spec.team, (0.0, 0.0))
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -18,7 +18,7 @@
 from .entities import Job, Machine, Task
 from .machine import MachineEvent, MachineState
 from .task import TaskEvent, TaskState
-from .teams import Ledger
+from .teams import QuotaUsage
 
 log = logging.getLogger(__name__)
 
@@ -34,7 +34,7 @@
         self.machines: dict[str, Machine] = {}
         self.deleted: dict[str, float] = {}
         self.over: OrderedDict[str, int] = OrderedDict()  # jobs that hold nothing any more: the record's last version
-        self.ledger = Ledger({t.name: t for t in settings.settings.teams})
+        self.quota = QuotaUsage({t.name: t for t in settings.settings.teams})
         self.run_ratio: dict[str, float] = {}  # job class: real run time by the estimate
         self.known_images: dict[str, dict[str, float]] = {}  # what the leader before knew of machines
         self.silent_since: dict[str, float] = {}  # the same: when machines were last heard that had fallen silent
@@ -52,7 +52,7 @@
         task.job.active[task.index] = task
         task.machine.tasks[task.job.ref, task.index] = task
         task.machine.touch()
-        self.ledger.add(task.job.spec)
+        self.quota.add(task.job.spec)
 
     def drop(self, task: Task, event: TaskEvent, now: float) -> None:
         """The task is proven off its machine, or never got there."""
@@ -63,7 +63,7 @@
         job = task.job
         if job.active.get(task.index) is task:
             del job.active[task.index]
-            self.ledger.remove(job.spec)
+            self.quota.remove(job.spec)
             if job.kind is Kind.SERVICE and job.is_open:
                 self.on_urgent()
         task.machine.tasks.pop((job.ref, task.index), None)
@@ -107,7 +107,7 @@
         # A task on a machine of unknown zone may be in this one.
         if spec.spread and zones.get(machine.zone, 0) + zones.get("", 0) + 1 > (spec.tasks + 1) // 2:
             return "more than half of the job in one zone"
-        if self.ledger.room_for(spec) < 1:
+        if self.quota.room_for(spec) < 1:
             return "team limit"
         return None
 
--- a/winglift/model/reported.py
+++ b/winglift/model/reported.py
@@ -7,7 +7,7 @@
 from .. import constants as c
 from ..wire import workers as w
 from ..wire.users import Kind
-from . import blame
+from . import failure_attribution
 from .entities import Machine, Task
 from .job import JobEvent, JobState
 from .machine import MachineEvent, MachineState
@@ -202,7 +202,7 @@
     why = piece.why or w.Why.ERROR
     if why == w.Why.DONE:
         log.debug("%s attempt %d on %s: done", task.name, task.attempt, machine.name)
-        blame.completed(job, machine)
+        failure_attribution.completed(job, machine)
         if job.kind is Kind.GANG:
             # They complete together: if one task is done, so are all.
             for index in range(job.spec.tasks):
@@ -232,10 +232,10 @@
     job, machine = task.job, task.machine
     log.debug("%s attempt %d on %s: %s", task.name, task.attempt, machine.name, why)
     if why == w.Why.ERROR:
-        before = blame.suspect(job, now)
-        blame.failed(job, machine)
+        before = failure_attribution.suspect(job, now)
+        failure_attribution.failed(job, machine)
         _suspect_machine(picture, machine, now)
-        if blame.suspect(job, now) and not before:
+        if failure_attribution.suspect(job, now) and not before:
             # What failed together before was one round, however many tasks it was and whenever each was heard of: the
             # first pause was often the longest, 120 s, also for a sound job that had met two faulty machines.
             job.failures = 0
@@ -246,16 +246,16 @@
         if now >= job.not_before:
             # Tasks that fail together are one round: eight at once had asked for the longest pause.
             job.failures += 1
-        if why != w.Why.ERROR or blame.suspect(job, now):
-            job.not_before = max(job.not_before, now + blame.pause_s(job, now))
+        if why != w.Why.ERROR or failure_attribution.suspect(job, now):
+            job.not_before = max(job.not_before, now + failure_attribution.pause_s(job, now))
     if job.kind is Kind.GANG:
         picture.break_gang(job, now, f"{task.name} ended: {why}")
 
 
 def _suspect_machine(picture: Picture, machine: Machine | None, now: float) -> None:
-    if machine is not None and machine.state is MachineState.UP and blame.faulty(machine, now):
+    if machine is not None and machine.state is MachineState.UP and failure_attribution.faulty(machine, now):
         log.info("%s: counts as faulty after %d failed tasks", machine.name, sum(machine.blamed.values()))
-        blame.found_faulty(machine, now)
+        failure_attribution.found_faulty(machine, now)
         machine.drain_reason = "faulty"
         machine.move(MachineEvent.DRAIN)
         picture.changed = True
@@ -274,7 +274,7 @@
         return
     # Records come to more than a team's limit where a place was free and given to another job, and its own record did
     # not say so yet when all nodes ended. Such a place was once started again, 25 GPUs of 24 (invariant 5).
-    stale = task.state is TaskState.UNKNOWN and picture.ledger.exceeded(job.spec.team)
+    stale = task.state is TaskState.UNKNOWN and picture.quota.exceeded(job.spec.team)
     task.move(TaskEvent.ABSENT, now)
     if task.state is TaskState.GONE or stale or task.stopping or not job.is_open or not task.machine.usable:
         gone = task.state is TaskState.GONE
--- a/winglift/model/teams.py
+++ b/winglift/model/teams.py
@@ -18,7 +18,7 @@
 
 
 @dataclass
-class Ledger:
+class QuotaUsage:
     """Counts every place from its proposal until it is proven empty (invariant 5)."""
 
     teams: dict[str, Team]
--- a/winglift/policy/board.py
+++ b/winglift/policy/board.py
@@ -20,7 +20,7 @@
         self.rooms = snap.rooms
         self.up = [r for r in self.rooms if r.ready_in <= 0]
         self.coming = sorted((r for r in self.rooms if r.ready_in > 0), key=lambda r: r.ready_in)
-        self.preemption = Preemption(snap.ledger, self.plan)
+        self.preemption = Preemption(snap.quota, self.plan)
         self.renting = Renting(snap, self.plan, self.coming)
         self.misses = Misses()
         self._roomy: dict[tuple[str | None, int], list[Room]] = {}
@@ -62,12 +62,12 @@
 
     def room(self, need: Need) -> int:
         """Tasks of this need that its team's limit still allows."""
-        spec, ledger = need.spec, self.board.snap.ledger
+        spec, quota = need.spec, self.board.snap.quota
         given = self.given.get(spec.team, (0.0, 0.0))
-        team = ledger.teams.get(spec.team)
+        team = quota.teams.get(spec.team)
         if team is None:
             return 0
-        used = ledger.used[spec.team]
+        used = quota.used[spec.team]
         most = 1_000_000
         for cap, want, has in (
             (team.cpus_max, spec.cpus, used.cpus + given[0]),
@@ -88,7 +88,7 @@
         small tasks, which were stopped in turn, 600 times in 50 s. What can't suffice is not stopped at all.
         """
         spec, snap, preemption = need.spec, self.board.snap, self.board.preemption
-        team = snap.ledger.teams.get(spec.team)
+        team = snap.quota.teams.get(spec.team)
         if team is None or spec.priority.rank == 0:
             return
         mine = []
@@ -104,7 +104,7 @@
                     and (v.ref, v.index) not in preemption.stopped
                 ]
         mine.sort(key=lambda pair: (pair[0].claim, pair[0].lost_s * pair[0].group))
-        used, given = snap.ledger.used[spec.team], self.given.get(spec.team, (0.0, 0.0))
+        used, given = snap.quota.used[spec.team], self.given.get(spec.team, (0.0, 0.0))
         gpus = used.gpus + given[1] + spec.gpus * tasks - team.gpus_max if team.gpus_max > 0 else 0.0
         cpus = used.cpus + given[0] + spec.cpus * tasks - team.cpus_max if team.cpus_max > 0 else 0.0
         gpus -= snap.stopping_gpus.get(spec.team, 0.0)
--- a/winglift/policy/care.py
+++ b/winglift/policy/failure_detector.py
@@ -30,7 +30,7 @@
     controls: dict[str, Machine] = field(default_factory=dict)  # per zone the machine heard last: it should answer
 
 
-class Care:
+class FailureDetector:
     def __init__(self, picture: Picture, workers: Workers, skew_s: float, attended: Iterable[str]) -> None:
         self.picture = picture
         self.workers = workers
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -6,18 +6,18 @@
 from heapq import heapify, heappop, heappush
 
 from .. import constants as c
-from ..model.teams import EPS, Ledger
+from ..model.teams import EPS, QuotaUsage
 from .snapshot import Need, Plan, Room, Victim, fetch_s, zone_ok
 
 
 class Preemption:
     """What has been told to give way in this cycle, and what else could be."""
 
-    def __init__(self, ledger: Ledger, plan: Plan) -> None:
-        self.ledger = ledger
+    def __init__(self, quota: QuotaUsage, plan: Plan) -> None:
+        self.quota = quota
         self.plan = plan
         self.stopped: set[tuple[str, int]] = set()
-        self._borrowers = {name for name in ledger.teams if ledger.borrows(name)}
+        self._borrowers = {name for name in quota.teams if quota.borrows(name)}
 
     def _owed(self, need: Need) -> bool:
         """Could another team owe this need room at all?"""
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -7,7 +7,7 @@
 
 from .. import constants as c
 from ..model.entities import Sizes
-from ..model.teams import EPS, Ledger
+from ..model.teams import EPS, QuotaUsage
 from ..wire.cloud import MachineType
 from ..wire.users import Priority, Submission
 
@@ -257,7 +257,7 @@
     now: float  # time of day
     rooms: list[Room]
     needs: list[Need]
-    ledger: Ledger
+    quota: QuotaUsage
     types: dict[str, MachineType]
     refused: set[tuple[str, str, bool]]  # type, zone, spot: recently without capacity
     reserves: list[Reserve] = field(default_factory=list)
--- a/winglift/store/mirror.py
+++ b/winglift/store/read_cache.py
@@ -24,7 +24,7 @@
 T = TypeVar("T")
 
 
-class Mirror(Generic[T]):
+class ReadCache(Generic[T]):
     def __init__(
         self,
         state: StateClient,
@@ -52,7 +52,7 @@
         self._on_record(ref, version, record)
         self._known[ref] = version, digest
         self._known.move_to_end(ref)
-        while len(self._known) > c.MIRROR_MOST:
+        while len(self._known) > c.READ_CACHE_RECORDS:
             self._known.popitem(last=False)
         return digest
 
