--- a/winglift/controller/handover.py
+++ b/winglift/controller/handover.py
@@ -23,6 +23,8 @@
 
 
 class Handover:
+    """Writes the moments that a successor must know into the duty page, and takes over those of the holder before."""
+
     def __init__(self, picture: Picture, inventory: Inventory, leaving: Leaving, view: View) -> None:
         self.picture = picture
         self.inventory = inventory
--- a/winglift/controller/lead.py
+++ b/winglift/controller/lead.py
@@ -49,6 +49,8 @@
 
 
 class Controller:
+    """Leads for one term: observes reports and records, plans, commits and acts."""
+
     def __init__(
         self,
         settings: Settings,
@@ -105,6 +107,7 @@
         self.picture.silent_since = {name: link.fleet_at - s for name, s in link.fleet.silent.items()}
 
     def start(self) -> None:
+        """Begin the leader's tasks; nothing is decided before records and duty page are loaded."""
         self._tasks = [
             asyncio.ensure_future(self._guard(job))
             for job in (
@@ -119,6 +122,7 @@
         ]
 
     def stop(self) -> None:
+        """End all tasks of this term. What is on its way is found by a successor in records and duty page."""
         for task in self._tasks:
             task.cancel()
         self.duties.follow()
--- a/winglift/controller/leaving.py
+++ b/winglift/controller/leaving.py
@@ -18,6 +18,8 @@
 
 
 class Leaving:
+    """Drains machines: returns idle ones and moves replicas off thinly used ones, at a bounded pace."""
+
     def __init__(self, picture: Picture, inventory: Inventory, script: Script, workers: Workers) -> None:
         self.picture = picture
         self.inventory = inventory
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -47,6 +47,8 @@
 
 
 class View:
+    """Builds the snapshot that the policy plans from; keeps what it may reuse from one cycle to the next."""
+
     def __init__(
         self, settings: Settings, picture: Picture, inventory: Inventory, script: Script, may_rent: Callable[[], bool]
     ) -> None:
@@ -83,6 +85,7 @@
         cut: frozenset[str] = frozenset(),
         attended: frozenset[str] | None = None,
     ) -> policy.Snapshot:
+        """The state of rooms, waiting work and quotas at `now` (steady time, s); `cut`: zones out of reach."""
         picture, today = self.picture, wall()
         jobs = sorted((j for j in picture.jobs.values() if j.state is JobState.OPEN), key=attrgetter("submitted"))
         within = self._owed(jobs)
--- a/winglift/policy/board.py
+++ b/winglift/policy/board.py
@@ -27,6 +27,7 @@
         self._with_image: dict[str, list[Room]] = {}
 
     def with_image(self, image: str) -> list[Room]:
+        """The running machines that hold or fetch this image."""
         found = self._with_image.get(image)
         if found is None:
             found = self._with_image[image] = [r for r in self.up if image in r.images]
@@ -78,6 +79,7 @@
         return max(0, most)
 
     def spend(self, need: Need, tasks: int) -> None:
+        """Count this many tasks of a need against its team's limit for the rest of the cycle."""
         cpus, gpus = self.given.get(need.spec.team, (0.0, 0.0))
         self.given[need.spec.team] = (cpus + need.spec.cpus * tasks, gpus + need.spec.gpus * tasks)
 
--- a/winglift/policy/failure_detector.py
+++ b/winglift/policy/failure_detector.py
@@ -31,6 +31,8 @@
 
 
 class FailureDetector:
+    """Judges in each cycle which machines are to be given up, asked or tried again."""
+
     def __init__(self, picture: Picture, workers: Workers, skew_s: float, attended: Iterable[str]) -> None:
         self.picture = picture
         self.workers = workers
--- a/winglift/policy/gangs.py
+++ b/winglift/policy/gangs.py
@@ -13,6 +13,8 @@
 
 
 class Gangs:
+    """Places gangs: all tasks of one together, or none."""
+
     def __init__(self, board: Board) -> None:
         self.board = board
         self._chosen: dict[Hashable, dict[str, tuple[int, list[Victim] | None]]] = {}
--- a/winglift/policy/plan.py
+++ b/winglift/policy/plan.py
@@ -143,6 +143,7 @@
         return True
 
     def run(self, limits: Limits) -> None:
+        """Place the need's tasks one by one as far as its team's limit and the rooms allow."""
         need, plan = self.need, self.board.plan
         room_left = limits.room(need)
         must = self.board.must_start(need)
@@ -254,6 +255,7 @@
 
 
 def make_plan(snap: Snapshot) -> Plan:
+    """One cycle's decisions (EPSM, section 4): starts, stops, moves, rentals and what may be returned."""
     board = Board(snap)
     limits, gangs = Limits(board), Gangs(board)
     for need in snap.needs + [stuck.need for stuck in snap.stuck]:
--- a/winglift/policy/preemption.py
+++ b/winglift/policy/preemption.py
@@ -137,6 +137,7 @@
         return chosen
 
     def stop(self, victim: Victim, room: Room, need: Need) -> None:
+        """Decide that a task is stopped for this need; its room counts as free soon."""
         self.stopped.add((victim.ref, victim.index))
         self.plan.stops.append((victim.ref, victim.index, need.ref))
         room.frees(victim)
@@ -179,6 +180,7 @@
         return cost, self._order[room.name], self._entries, room, room.stamp, chosen
 
     def changed(self, room: Room) -> None:
+        """A room has changed: it is put in order again."""
         if room.name in self._order:
             entry = self._entry(room)
             if entry is not None:
--- a/winglift/policy/renting.py
+++ b/winglift/policy/renting.py
@@ -26,6 +26,8 @@
 
 
 class Renting:
+    """Chooses machine types to rent, within what the cloud has refused lately."""
+
     def __init__(self, snap: Snapshot, plan: Plan, coming: list[Room]) -> None:
         self.snap = snap
         self.plan = plan
@@ -104,6 +106,7 @@
         return found
 
     def rent(self, need: Need, placed: dict[str, int]) -> Room | None:
+        """The room of a machine to be rented for one task of this need; None if nothing adequate is to be had."""
         choices = self._choices(need, placed)
         if not choices:
             return None
@@ -130,6 +133,7 @@
         return room
 
     def mark(self) -> Mark:
+        """The state to return to if a gang finds no place for all its tasks."""
         return len(self.plan.rentals), len(self.coming), dict(self.per_zone), dict(self._few)
 
     def undo(self, mark: Mark) -> None:
--- a/winglift/policy/reserve.py
+++ b/winglift/policy/reserve.py
@@ -53,6 +53,8 @@
 
 
 class Reserves:
+    """Keeps room warm for the classes that must start sooner than a machine boots."""
+
     def __init__(self, board: Board) -> None:
         self.board = board
 
--- a/winglift/policy/search.py
+++ b/winglift/policy/search.py
@@ -71,6 +71,7 @@
             heappush(self._heaps.setdefault(room.zone, []), self._entry(room))
 
     def best(self, placed: dict[str, int]) -> Room | None:
+        """The best room that the zones of the tasks placed so far allow, or None."""
         spec = self.need.spec
         found: Room | None = None
         found_key: tuple | None = None
@@ -98,10 +99,12 @@
         self._sizes: dict[Hashable, list[tuple[float, float, float, int]]] = {}
 
     def known(self, where: Hashable, spec: Submission, tasks: int = 1) -> bool:
+        """Was a need at most as large sought in these rooms in vain?"""
         return any(
             spec.gpus >= gpus and spec.cpus >= cpus and spec.memory_gb >= memory and tasks >= count
             for gpus, cpus, memory, count in self._sizes.get(where, ())
         )
 
     def add(self, where: Hashable, spec: Submission, tasks: int = 1) -> None:
+        """A need of this size found no room among these."""
         self._sizes.setdefault(where, []).append((spec.gpus, spec.cpus, spec.memory_gb, tasks))
--- a/winglift/policy/snapshot.py
+++ b/winglift/policy/snapshot.py
@@ -106,6 +106,7 @@
         return sum(v.cpus for v in found), sum(v.gpus for v in found), sum(v.memory_gb for v in found)
 
     def look(self) -> None:
+        """Fill in the tasks that could be stopped or moved; only few rooms of a cycle need it."""
         if self.source is not None and not self.looked:
             self.looked = True
             self.victims, self.movers = self.source()
@@ -134,9 +135,11 @@
         self.empty, self.touched = False, True
 
     def fits(self, spec: Submission) -> bool:
+        """Is there room for one task now?"""
         return spec.gpus <= self.gpus + EPS and spec.cpus <= self.cpus + EPS and spec.memory_gb <= self.memory_gb + EPS
 
     def fits_soon(self, spec: Submission) -> bool:
+        """Is there room for one task once the stops under way are through?"""
         return (
             spec.gpus <= self.gpus + self.soon_gpus + EPS
             and spec.cpus <= self.cpus + self.soon_cpus + EPS
@@ -155,6 +158,7 @@
         return max(0, most)
 
     def take(self, spec: Submission) -> None:
+        """A task is placed here."""
         self.cpus -= spec.cpus
         self.gpus -= spec.gpus
         self.memory_gb -= spec.memory_gb
@@ -163,6 +167,7 @@
         self.touched = True
 
     def give(self, spec: Submission) -> None:
+        """A task that was placed here in this cycle is taken back."""
         self.cpus += spec.cpus
         self.gpus += spec.gpus
         self.memory_gb += spec.memory_gb
@@ -178,6 +183,7 @@
         self.touched = True
 
     def allowed(self, spec: Submission) -> bool:
+        """Does the job allow this type, zone and kind of machine?"""
         return (
             (spec.spot or not self.spot)
             and (spec.zone is None or spec.zone == self.zone)
@@ -209,6 +215,7 @@
 
     @property
     def claim(self) -> tuple[bool, bool, int]:
+        """Who goes first, the larger the sooner: production, within the guarantee, priority."""
         return claim(self.spec.priority, self.within)
 
     @property
@@ -221,6 +228,7 @@
         return self.plain and room.type.gpus > 0
 
     def allows(self, room: Room) -> bool:
+        """May a task go to this room: allowed by its job, not avoided, not kept for another?"""
         return (
             room.allowed(self.spec)
             and room.name not in self.avoid
@@ -238,6 +246,8 @@
 
 @dataclass(slots=True)
 class Rental:
+    """Machines of one type, zone and kind to be rented."""
+
     type: str
     zone: str
     spot: bool
@@ -254,6 +264,8 @@
 
 @dataclass(slots=True)
 class Snapshot:
+    """All that one plan is made from; amounts in CPUs, GPUs and GB, times in s."""
+
     now: float  # time of day
     rooms: list[Room]
     needs: list[Need]
@@ -272,11 +284,14 @@
     stopping_cpus: dict[str, float] = field(default_factory=dict)
 
     def alone(self, zone: str) -> bool:
+        """Is the zone without a controller node?"""
         return self.attended is not None and zone not in self.attended
 
 
 @dataclass(slots=True)
 class Plan:
+    """What one cycle has decided."""
+
     starts: list[tuple[str, list[tuple[int, str]]]] = field(default_factory=list)
     stops: list[tuple[str, int, str]] = field(default_factory=list)  # job, task, for whom
     kept: dict[str, list[str]] = field(default_factory=dict)  # gang: machines on which room is being made for it
@@ -290,6 +305,7 @@
 
 
 def fetch_s(room: Room, spec: Submission) -> float:
+    """Seconds until the job's image is on the machine; 0 if it is there."""
     return 0.0 if spec.image in room.images else spec.image_gb / max(room.type.fetch_gb_per_s, 1e-3)
 
 
--- a/winglift/store/batcher.py
+++ b/winglift/store/batcher.py
@@ -27,6 +27,7 @@
 
 
 def pack(job: Job) -> records.JobRecord:
+    """The record of a job as the leader sees it now."""
     low, bits = records.pack_done(job.done)
     state = JobState.DONE if job.state is JobState.ENDING else job.state
     return records.JobRecord(
@@ -42,6 +43,8 @@
 
 
 class Batcher:
+    """Writes changed job records in batches, most urgent first, conditional on the leadership key."""
+
     def __init__(self, state: StateClient, limits: State, picture: Picture, fence: Fence) -> None:
         self.state = state
         self.limits = limits
@@ -55,6 +58,7 @@
         self.most_bytes = int(limits.value_kb * 1024)
 
     def fits(self, job: Job) -> bool:
+        """Does the job's record fit into one value of the state service?"""
         return len(msgspec.json.encode(pack(job))) <= self.most_bytes - c.RECORD_SPARE_BYTES
 
     def flush(self) -> None:
@@ -204,6 +208,7 @@
             apply_record(self.picture, job.ref, item.version, records.decode(item.value), steady())
 
     def stop(self) -> None:
+        """Write nothing more in this term."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -41,6 +41,8 @@
 
 
 class Health(Enum):
+    """How the state service has answered this node lately."""
+
     GOOD = "good"
     DOUBTFUL = "doubtful"
     DOWN = "down"
@@ -64,6 +66,8 @@
 
 
 class StateClient:
+    """A node's requests to the state service (PROTOCOL, "Controller nodes -> state service"), within its budgets."""
+
     def __init__(self, host: str, port: int, limits: State, nodes: int) -> None:
         self._http = here().client(host, port)
         self._limits = limits
@@ -101,6 +105,7 @@
     # -- health --------------------------------------------------------------------------------
 
     def health(self) -> Health:
+        """GOOD until a request fails, DOWN once all have failed for STATE_DOWN_AFTER_S."""
         if self._bad_since is None:
             return Health.GOOD
         if steady() - self._bad_since < c.STATE_DOWN_AFTER_S:
@@ -169,6 +174,7 @@
     # -- requests ------------------------------------------------------------------------------
 
     async def get(self, key: str, timeout: float = c.STATE_TIMEOUT_S, urgent: bool = False) -> wire.Item | None:
+        """The item of a key, or None if there is none. Raises Refused or Unknown."""
         reply = await self._call("GET", f"/store/{quote(key)}", timeout=timeout, urgent=urgent)
         if reply.status == 404:
             return None
@@ -201,6 +207,7 @@
         max_wait: float = c.MAX_QUEUE_S,
         urgent: bool = False,
     ) -> wire.Committed | wire.Conflict:
+        """Carry out a transaction. Raises Refused (not executed), Unknown (perhaps executed, or yet to be), LeaseGone."""
         body = msgspec.json.encode(txn)
         reply = await self._call("POST", "/commit", body, timeout, max_wait, len(txn.changes), urgent)
         if reply.status == 200:
@@ -214,6 +221,7 @@
         raise Refused(f"state service: {reply.status} {reply.body[:200]!r}")
 
     async def grant(self, ttl_s: float) -> int:
+        """A new lease that lives for `ttl_s` without a renewal."""
         body = msgspec.json.encode(wire.GrantRequest(int(ttl_s * 1000)))
         reply = await self._call("POST", "/grants", body, urgent=True)
         if reply.status not in (200, 201):
@@ -221,6 +229,7 @@
         return _decode(_grant, reply.body).lease
 
     async def touch(self, lease: int, timeout: float) -> None:
+        """Renew a lease. Raises LeaseGone if it has ended."""
         # Renewals skip the budget: a leader must not lose its lease to its own bookkeeping.
         reply = await self._call("POST", f"/grants/{lease}/touch", b"{}", timeout=timeout, urgent=True)
         if reply.status == 404:
@@ -229,6 +238,7 @@
             raise Refused(f"state service: {reply.status} for a renewal")
 
     async def release(self, lease: int) -> None:
+        """End a lease, and with it the keys attached to it."""
         await self._call("DELETE", f"/grants/{lease}", urgent=True)
 
     async def changes(self, prefix: str, after: int, block_ms: int = c.WATCH_BLOCK_MS) -> wire.Changes:
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -26,6 +26,8 @@
 
 
 class Election:
+    """Campaigns for, renews and gives up the leadership of this node."""
+
     def __init__(self, state: StateClient, node: str, on_change: Callable[[], None]) -> None:
         self.state = state
         self.node = node
@@ -39,6 +41,7 @@
         self._rng = here().chance()
 
     async def run(self) -> None:
+        """Follow, campaign or renew, for as long as the node runs."""
         while True:
             try:
                 if self.me.role in (Role.LEADER, Role.DOUBTFUL):
@@ -73,11 +76,13 @@
         await asyncio.sleep(max(0.05, c.LEADER_RENEW_S - (steady() - sent)))
 
     def check(self) -> None:
+        """Doubt the own leadership once its lease may have run out by the own clock."""
         if self.me.role is Role.LEADER and steady() >= self.me.valid_until:
             self.me.move(RoleEvent.OVERDUE)
             log.info("term %d in doubt: the lease was not renewed in time", self.me.term)
 
     def lose(self, why: str) -> None:
+        """Lead no more, whatever the lease says."""
         if self.me.role is Role.FOLLOWER:
             return
         log.info("no longer leads term %d: %s", self.me.term, why)
--- a/winglift/store/keeper.py
+++ b/winglift/store/keeper.py
@@ -22,6 +22,8 @@
 
 
 class Keeper:
+    """Keeps which machine holds which image in the state service, for a start after all nodes ended."""
+
     def __init__(self, state: StateClient, limits: State, me: Leadership, fence: Fence) -> None:
         self.state = state
         self.limits = limits
@@ -41,6 +43,7 @@
         )
 
     def save(self, images: Mapping[str, Mapping[str, float]], now: float) -> None:
+        """Write the images of all machines, as far as they fit into IMAGE_PAGES values."""
         self._next = now + c.IMAGES_KEPT_EVERY_S
         pages = imagebook.pack(images, int(self.limits.value_kb * 1024) - c.RECORD_SPARE_BYTES)
         changed = {key: value for key, value in pages.items() if self._written.get(key) != value}
@@ -48,6 +51,7 @@
             self._task = asyncio.ensure_future(self._write(changed))
 
     def stop(self) -> None:
+        """Write nothing more in this term."""
         if self._task is not None:
             self._task.cancel()
 
--- a/winglift/store/read_cache.py
+++ b/winglift/store/read_cache.py
@@ -25,6 +25,8 @@
 
 
 class ReadCache(Generic[T]):
+    """Digests of job records, each answer as new as the question (linearizable reads)."""
+
     def __init__(
         self,
         state: StateClient,
