--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -207,7 +207,7 @@
         max_wait: float = c.MAX_QUEUE_S,
         urgent: bool = False,
     ) -> wire.Committed | wire.Conflict:
-        """Carry out a transaction. Raises Refused (not executed), Unknown (perhaps executed, or yet to be), LeaseGone."""
+        """Carry out a transaction. Raises Refused (not executed), Unknown (perhaps, or yet to be), LeaseGone."""
         body = msgspec.json.encode(txn)
         reply = await self._call("POST", "/commit", body, timeout, max_wait, len(txn.changes), urgent)
         if reply.status == 200:
