--- a/winglift/cloud/client.py
+++ b/winglift/cloud/client.py
@@ -36,6 +36,8 @@
 
 
 class CloudClient:
+    """One node's calls to the cloud (PROTOCOL, "Controller nodes -> cloud"), within its share of the rate."""
+
     def __init__(self, host: str, port: int, limits: Cloud, nodes: int) -> None:
         self._http = here().client(host, port)
         self._limits = limits
@@ -93,6 +95,7 @@
             raise CloudError(f"odd answer of the cloud: {err}") from None
 
     async def types(self) -> dict[str, wire.MachineType]:
+        """The machine types now offered, with current prices. Raises CloudError."""
         found: dict[str, wire.MachineType] = {}
         for raw in self._decode(_types, await self._call("GET", "/flavors")).types:
             try:
@@ -104,6 +107,7 @@
         return found
 
     async def rent(self, request: wire.Rent) -> list[str]:
+        """Rent machines; their names. Raises NoCapacity, or CloudError if it is not known what happened."""
         reply = await self._call("POST", "/hosts", msgspec.json.encode(request))
         if reply.status == 503 and b"no capacity" in reply.body:
             raise NoCapacity
@@ -127,6 +131,7 @@
             raise CloudError(f"cloud: {reply.status} for a deletion")
 
     async def list(self) -> list[wire.Listed]:
+        """All machines, page by page; as old as the cloud's lag. Raises CloudError."""
         found: list[wire.Listed] = []
         after = ""
         while True:
--- a/winglift/cloud/inventory.py
+++ b/winglift/cloud/inventory.py
@@ -25,6 +25,8 @@
 
 
 class Inventory:
+    """Rents and deletes machines for one term, and reconciles them with the cloud's list."""
+
     def __init__(self, cloud: CloudClient, picture: Picture, list_lag_s: float, book: Book) -> None:
         self.cloud = cloud
         self.picture = picture
@@ -41,12 +43,14 @@
         self._sender: asyncio.Task | None = None
 
     def spawn(self, coroutine) -> asyncio.Task:  # type: ignore[no-untyped-def, type-arg]
+        """Start a coroutine that ends with this term."""
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
     def stop(self) -> None:
+        """End all calls of this term."""
         for task in self._tasks:
             task.cancel()
 
@@ -192,12 +196,14 @@
         ]
 
     def refused_now(self, now: float) -> set[tuple[str, str, bool]]:
+        """Type, zone and kind (spot) of what the cloud has refused lately."""
         self.refused = {k: t for k, t in self.refused.items() if t > now}
         return set(self.refused)
 
     # -- returning -----------------------------------------------------------------------------
 
     def delete(self, machine: Machine, why: str) -> None:
+        """Delete a machine: nothing is placed there from now on, whatever becomes of the call."""
         if machine.state is MachineState.DELETING or machine.name in self._to_delete:
             return
         effect = self.book.intend(Effect(machine.name, steady()))
@@ -252,6 +258,7 @@
     # -- the list ------------------------------------------------------------------------------
 
     async def run(self) -> None:
+        """Reconcile with the list every LIST_EVERY_S."""
         while True:
             try:
                 asked = steady()
@@ -301,4 +308,5 @@
 
 
 def holds_cancelled(machine: Machine) -> bool:
+    """Does the machine hold a task of a cancelled job?"""
     return any(t.job.state is JobState.CANCELLED for t in machine.tasks.values())
--- a/winglift/config/script.py
+++ b/winglift/config/script.py
@@ -66,6 +66,7 @@
     _limited: Any = None
 
     def number(self, name: str) -> float:
+        """A number that the script sets, or its default."""
         return self.numbers[name]
 
     def ask(self, name: str, default: float, *args: str | float) -> float:
@@ -85,6 +86,7 @@
 
 
 def load(path: str) -> Script:
+    """Read an operators' script. Raises ScriptError with the place."""
     try:
         with open(path, encoding="utf-8") as file:
             source = file.read()
@@ -94,6 +96,7 @@
 
 
 def parse(source: str, path: str) -> Script:
+    """Evaluate a script's source; `path` is named in errors."""
     # Imported here: nodes without a script need neither its memory nor its start-up time.
     from lupa import lua54
 
--- a/winglift/config/settings.py
+++ b/winglift/config/settings.py
@@ -17,17 +17,23 @@
 
 
 class Seed(msgspec.Struct, frozen=True):
+    """Another controller node and where it listens."""
+
     node: str
     zone: str
     addr: str
 
 
 class Services(msgspec.Struct, frozen=True):
+    """Addresses of the outside services."""
+
     cloud: str
     state: str
 
 
 class Team(msgspec.Struct, frozen=True):
+    """What a team is guaranteed and may use at most; 0 is none."""
+
     name: str
     cpus: float
     cpus_max: float
@@ -36,6 +42,8 @@
 
 
 class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
+    """An aim of the users, as a share within a time."""
+
     kind: str
     job_class: str = ""
     within_s: float | None = None
@@ -44,6 +52,8 @@
 
 
 class Workers(msgspec.Struct, frozen=True):
+    """Times of the workers' protocol, in s."""
+
     report_s: float
     lease_s: float
     gang_wait_s: float
@@ -52,6 +62,8 @@
 
 
 class State(msgspec.Struct, frozen=True):
+    """Limits of the state service."""
+
     rps: float
     write_rps: float
     value_kb: float
@@ -59,17 +71,23 @@
 
 
 class Cloud(msgspec.Struct, frozen=True):
+    """Limits of the cloud."""
+
     rps: float
     list_lag_s: float
 
 
 class MachineLimits(msgspec.Struct, frozen=True):
+    """What a node's machine grants it."""
+
     cpu: float
     mem_mb: float
     sockets: int
 
 
 class Params(msgspec.Struct, frozen=True):
+    """What holds for the deployment, alike on all nodes."""
+
     nodes: int
     zones: list[str]
     skew_ms: float
@@ -82,6 +100,8 @@
 
 
 class Settings(msgspec.Struct, frozen=True):
+    """One node's settings file."""
+
     node: str
     zone: str
     client_listen: str
@@ -92,6 +112,7 @@
 
 
 def parse_addr(text: str, path: str) -> tuple[str, int]:
+    """Host and port of `host:port`; `path` names the setting in errors."""
     match = _ADDR.match(text)
     if not match or int(match[2]) > 65535 or any(int(p) > 255 for p in match[1].split(".")):
         raise SettingsError(f"{path}: expected an address like 10.0.0.1:8080, got {text!r}")
@@ -105,6 +126,7 @@
 
 
 def parse(text: str) -> Settings:
+    """Check and decode a settings file's text. Raises SettingsError that names the field."""
     try:
         raw = tomllib.loads(text)
     except tomllib.TOMLDecodeError as err:
@@ -137,6 +159,7 @@
 
 
 def load(path: str) -> Settings:
+    """Read a settings file. Raises SettingsError."""
     try:
         with open(path, encoding="utf-8") as file:
             text = file.read()
--- a/winglift/duties/book.py
+++ b/winglift/duties/book.py
@@ -32,6 +32,8 @@
 
 
 class Book:
+    """The intent log: what is under way at the cloud, committed before it is sent."""
+
     def __init__(self, state: StateClient, limits: Limits, fence: Fence, list_lag_s: float) -> None:
         self.state = state
         self.fence = fence
--- a/winglift/duties/duty.py
+++ b/winglift/duties/duty.py
@@ -26,6 +26,8 @@
 
 
 class State(Enum):
+    """How far this node is with a duty."""
+
     SOUGHT = auto()  # the lease is held; what the holder before had begun is not known yet
     HELD = auto()
     IN_DOUBT = auto()  # the lease may have ended by this node's clock: nothing leaves it
@@ -34,6 +36,8 @@
 
 
 class Event(Enum):
+    """What moves a duty."""
+
     KNOW = auto()  # what the holder before had begun has been read and taken over
     OVERDUE = auto()
     RENEW = auto()
@@ -71,6 +75,8 @@
 
 @dataclass(eq=False)
 class Duty:
+    """One duty of the holder, as a state machine."""
+
     name: Name
     fence: Fence
     state: State = State.SOUGHT
@@ -100,6 +106,7 @@
         return self._all[name]
 
     def know(self, name: Name) -> None:
+        """What must be known for a duty is known."""
         self._all[name].move(Event.KNOW)
         self.follow()
 
@@ -111,6 +118,7 @@
             duty.move(Event.RENEW if lead else Event.OVERDUE if doubt else Event.LOSE)
 
     def give_up(self) -> None:
+        """No duty may be carried out any more in this term."""
         for duty in self._all.values():
             duty.move(Event.GIVE_UP)
 
--- a/winglift/duties/effect.py
+++ b/winglift/duties/effect.py
@@ -14,6 +14,8 @@
 
 
 class State(Enum):
+    """How far an effect on the cloud is."""
+
     INTENDED = auto()  # decided, known to this node alone
     RECORDED = auto()  # in the book: every later holder knows of it
     SENT = auto()  # it may have been carried out, or may yet be
@@ -22,6 +24,8 @@
 
 
 class Event(Enum):
+    """What moves an effect."""
+
     RECORD = auto()
     SEND = auto()
     SEND_UNRECORDED = auto()  # a deletion for a cancelled task, while the state service is away
@@ -77,4 +81,5 @@
 
     @property
     def is_open(self) -> bool:
+        """May it still be carried out, or is its end not known?"""
         return self.state in OPEN
--- a/winglift/duties/page.py
+++ b/winglift/duties/page.py
@@ -104,6 +104,7 @@
 
 
 def decode(value: bytes | msgspec.Raw) -> Page:
+    """The page of a stored value. Raises BadRecord."""
     try:
         return _decoder.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
@@ -111,4 +112,5 @@
 
 
 def encode(page: Page) -> bytes:
+    """The value to be stored."""
     return msgspec.json.encode(page)
--- a/winglift/duties/tidy.py
+++ b/winglift/duties/tidy.py
@@ -33,6 +33,7 @@
     puts: tuple[tuple[wire.Put, int], ...] = ()  # and the revision that its key must have
 
     def transaction(self, fence: wire.Condition) -> wire.Transaction:
+        """The transaction that removes it, fenced."""
         conditions = [
             fence,
             *(wire.Condition(key, version) for key, version in self.keys),
@@ -50,6 +51,8 @@
 
 
 class Tidy:
+    """Garbage collection of stored state, a little at a time, with what the budget leaves."""
+
     def __init__(self, state: StateClient, limits: Limits, duties: Duties) -> None:
         self.state = state
         self.duties = duties
@@ -65,6 +68,7 @@
         )
 
     async def run(self) -> None:
+        """Look for garbage every TIDY_EVERY_S while this node holds the duty."""
         while True:
             await asyncio.sleep(c.TIDY_EVERY_S)
             for sweeper in self.sweepers:
@@ -94,6 +98,7 @@
         self.picture = picture
 
     async def find(self, most: int) -> list[Removal]:
+        """Pages of images that no longer mean anything."""
         items, _ = await self.state.list(imagebook.PREFIX)
         stale = [
             item for item in items if not any(name in self.picture.machines for name in imagebook.unpack([item.value]))
--- a/winglift/model/boots.py
+++ b/winglift/model/boots.py
@@ -25,6 +25,7 @@
 
 
 def overdue(machine: Machine, now: float) -> bool:
+    """Has the machine been booting for longer than boots usually take?"""
     return machine.state is MachineState.BOOTING and now - machine.rented_at > usual_s(machine)
 
 
--- a/winglift/model/ends.py
+++ b/winglift/model/ends.py
@@ -16,12 +16,16 @@
 
 
 class State(Enum):
+    """Who sees to a confirmed cancellation."""
+
     OPEN = auto()  # nobody is known to see to it: this node does
     LEFT = auto()  # a leader that can act has taken it over: it is left to that one, for as long as it is in hearing
     SETTLED = auto()  # all its tasks are proven off
 
 
 class Event(Enum):
+    """What moves it."""
+
     TAKEN = auto()  # a leader that can act sees to it
     ORPHANED = auto()  # nobody is in hearing any more who does
     PROVEN = auto()  # all its machines are free of it, or gone
@@ -144,6 +148,7 @@
         return left
 
     def holding(self, machine: str) -> list[End]:
+        """The cancellations that may have tasks on this machine."""
         return [end for end in self.all.values() if machine in end.halts]
 
     def free(self, ref: str, machine: str, now: float, told: bool = False) -> None:
@@ -173,6 +178,7 @@
             end.move(Event.PROVEN, now)
 
     def open(self) -> list[End]:
+        """The cancellations that this node must see to."""
         return [end for end in self.all.values() if end.state is State.OPEN]
 
     def due(self, now: float, wall: float, rank: int, hear_s: float) -> list[str]:
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -22,6 +22,8 @@
 
 @dataclass(slots=True, eq=False)
 class Job:
+    """A job as the leader sees it: its record, and what has been decided since."""
+
     ref: str
     spec: Submission
     submitted: float  # time of day, from the node that accepted it
@@ -50,10 +52,12 @@
 
     @property
     def kind(self) -> Kind:
+        """Array, gang or service."""
         return self.spec.kind
 
     @property
     def is_open(self) -> bool:
+        """Has it neither ended nor all its tasks done?"""
         return self.state is JobState.OPEN
 
     def move(self, event: JobEvent) -> JobState:
@@ -62,6 +66,7 @@
         return self.state
 
     def mark(self, level: int) -> None:
+        """Its record must be written; the smaller the level, the sooner."""
         self.dirty = min(self.dirty, level) if self.dirty else level
 
     def waiting_tasks(self, most: int) -> list[int]:
@@ -97,6 +102,7 @@
         return self.spec.save_s + c.STOP_GRACE_MARGIN_S if self.spec.checkpoint_s > 0 else 0.0
 
     def unfinished(self) -> int:
+        """Number of tasks that are not done."""
         return self.spec.tasks - len(self.done)
 
 
@@ -118,6 +124,7 @@
 
     @property
     def name(self) -> str:
+        """As workers name it: job and number."""
         return f"{self.job.ref}/{self.index}"
 
     def move(self, event: TaskEvent, now: float) -> TaskState:
@@ -140,6 +147,7 @@
 
     @property
     def stopping(self) -> bool:
+        """Has it been told to stop?"""
         return self.stop_grace is not None
 
     @property
@@ -180,6 +188,8 @@
 
 @dataclass(slots=True, eq=False)
 class Machine:
+    """A rented machine as the leader sees it."""
+
     name: str
     type: MachineType | None
     type_name: str
@@ -271,6 +281,7 @@
 
     @property
     def usable(self) -> bool:
+        """May work be placed there?"""
         return self.state is MachineState.UP
 
     def remember_image(self, image: str, gb: float) -> None:
--- a/winglift/model/job.py
+++ b/winglift/model/job.py
@@ -9,6 +9,8 @@
 
 
 class JobState(Enum):
+    """A job's states; a record holds the value."""
+
     OPEN = "o"
     ENDING = "all done, in no record yet"  # as this leader has seen; a cancellation that is recorded first still wins
     DONE = "d"
@@ -21,6 +23,8 @@
 
 
 class JobEvent(Enum):
+    """What moves a job."""
+
     COMPLETE = "all tasks have completed"
     RECORD_DONE = "its record says done"
     RECORD_CANCELLED = "its record says cancelled"
@@ -63,6 +67,7 @@
         return self.low + len(self.above)
 
     def add(self, index: int) -> None:
+        """The task is done."""
         if index in self:
             return
         self.above.add(index)
@@ -71,6 +76,7 @@
             self.low += 1
 
     def complete(self) -> bool:
+        """Are all tasks done?"""
         return self.low >= self.count
 
     def window(self) -> range:
--- a/winglift/model/leadership.py
+++ b/winglift/model/leadership.py
@@ -9,6 +9,8 @@
 
 
 class Role(Enum):
+    """What a node is in the election."""
+
     FOLLOWER = auto()
     CAMPAIGNING = auto()
     LEADER = auto()  # holds the lease and has loaded the records
@@ -16,6 +18,8 @@
 
 
 class RoleEvent(Enum):
+    """What moves a role."""
+
     CAMPAIGN = auto()
     WON = auto()
     LOST = auto()  # the state service says so, a worker knows a higher term, or the node resigned
@@ -40,6 +44,8 @@
 
 @dataclass
 class Leadership:
+    """A node's role, term and lease, as a state machine."""
+
     role: Role = Role.FOLLOWER
     term: int = 0  # the term this node leads or led
     lease: int = 0
--- a/winglift/model/machine.py
+++ b/winglift/model/machine.py
@@ -6,6 +6,8 @@
 
 
 class MachineState(Enum):
+    """A machine's states."""
+
     BOOTING = auto()  # rented, not heard of yet
     UP = auto()  # reports under the present term
     INHERITED = auto()  # known from records or the list, no report under the present term yet
@@ -16,6 +18,8 @@
 
 
 class MachineEvent(Enum):
+    """What moves a machine."""
+
     REPORT = auto()
     UNHEEDED = auto()  # what it reports shows that our answers don't reach it
     HEARS = auto()  # it has answered a question, or a start has shown
--- a/winglift/model/picture.py
+++ b/winglift/model/picture.py
@@ -26,6 +26,8 @@
 
 
 class Picture:
+    """The cluster state of one term. Everything that changes who holds what passes here."""
+
     def __init__(self, settings: Settings, types: dict[str, MachineType], term: int) -> None:
         self.settings = settings
         self.types = types
@@ -49,6 +51,7 @@
     # -- who holds what ------------------------------------------------------------------------
 
     def hold(self, task: Task) -> None:
+        """A task takes a place, and counts for its team from now on."""
         task.job.active[task.index] = task
         task.machine.tasks[task.job.ref, task.index] = task
         task.machine.touch()
@@ -60,6 +63,7 @@
         self.let_go(task, now)
 
     def let_go(self, task: Task, now: float) -> None:
+        """A task leaves its place."""
         job = task.job
         if job.active.get(task.index) is task:
             del job.active[task.index]
@@ -146,6 +150,7 @@
             self.changed = True
 
     def stop_all(self, job: Job, now: float, reason: str, grace_s: float = 0.0) -> None:
+        """Ask for all tasks of a job to be stopped."""
         for task in list(job.active.values()):
             if task.state is TaskState.COMMITTED:
                 self.drop(task, TaskEvent.MACHINE_GONE, now)
@@ -195,6 +200,7 @@
         self.changed = True
 
     def estimate_s(self, job: Job) -> float:
+        """A task's run time in s: the owner's estimate, corrected by what its class has shown."""
         return job.spec.estimate_s * self.run_ratio.get(job.spec.job_class, 1.0)
 
 
--- a/winglift/model/records.py
+++ b/winglift/model/records.py
@@ -20,11 +20,15 @@
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
+    """Value of the leadership key."""
+
     term: int
     node: str
 
 
 class TermRecord(msgspec.Struct, frozen=True):
+    """Value of the key of the latest term."""
+
     term: int
 
 
@@ -83,6 +87,7 @@
 
 
 def pack_ranges(numbers: list[int]) -> str:
+    """Numbers as text: `0-3,7`."""
     parts: list[str] = []
     start = last = None
     for number in sorted(numbers):
@@ -98,6 +103,7 @@
 
 
 def unpack_ranges(text: str) -> list[int]:
+    """The numbers of such a text. Raises ValueError."""
     found: list[int] = []
     for part in text.split(","):
         first, _, last = part.partition("-")
@@ -106,6 +112,7 @@
 
 
 def pack_done(done: DoneSet) -> tuple[int, str]:
+    """The lowest task that is not done, and a bitmap of those above it in base 64."""
     if not done.above:
         return done.low, ""
     bits = bytearray((max(done.above) - done.low) // 8 + 1)
@@ -116,6 +123,7 @@
 
 
 def unpack_done(count: int, low: int, text: str) -> DoneSet:
+    """The reverse of `pack_done`. Raises ValueError."""
     above = set()
     for place, byte in enumerate(b64decode(text)):
         for bit in range(8):
@@ -138,10 +146,12 @@
 
 
 def fresh(spec: Submission, submitted: float) -> JobRecord:
+    """The record of a new job."""
     return JobRecord(submitted=submitted, spec=spec)
 
 
 def pack_places(tasks: dict[int, Task]) -> list[tuple[str, int, str]]:
+    """Places by machine and attempt, without tasks that are proven off."""
     groups: dict[tuple[str, int], list[int]] = defaultdict(list)
     for number, task in tasks.items():
         if task.state not in (TaskState.GONE, TaskState.EXITED):
@@ -150,6 +160,7 @@
 
 
 def decode(value: bytes | msgspec.Raw) -> JobRecord:
+    """The record of a stored value. Raises BadRecord."""
     try:
         return _decoder.decode(value)
     except (msgspec.DecodeError, UnicodeDecodeError) as err:
@@ -157,6 +168,7 @@
 
 
 def unpack(record: JobRecord) -> Loaded:
+    """A record taken apart. Raises BadRecord."""
     try:
         places = {n: (name, attempt) for name, attempt, text in record.places for n in unpack_ranges(text)}
         done = unpack_done(record.spec.tasks, record.low, record.bits)
@@ -168,12 +180,15 @@
 
 
 def done_count(record: JobRecord) -> int:
+    """Number of tasks that are done."""
     return record.low + sum(byte.bit_count() for byte in b64decode(record.bits))
 
 
 def held_count(record: JobRecord) -> int:
+    """Number of tasks that hold a place."""
     return sum(len(unpack_ranges(text)) for _, _, text in record.places)
 
 
 def encode(record: JobRecord) -> bytes:
+    """The value to be stored."""
     return msgspec.json.encode(record)
--- a/winglift/model/task.py
+++ b/winglift/model/task.py
@@ -6,6 +6,8 @@
 
 
 class TaskState(Enum):
+    """A placed task's states."""
+
     PROPOSED = auto()  # decided; its record is not committed yet
     COMMITTED = auto()  # the record holds machine and attempt; the start has not been sent
     SENT = auto()  # the start went out in a report's response; whether it took effect is open
@@ -19,6 +21,8 @@
 
 
 class TaskEvent(Enum):
+    """What moves a task."""
+
     COMMIT = auto()
     REJECT = auto()  # the commit did not happen: the place was never taken
     SEND = auto()
@@ -68,6 +72,7 @@
 
 
 def next_state(state: TaskState, event: TaskEvent) -> TaskState:
+    """The state after an event. Raises WrongEvent."""
     try:
         return TRANSITIONS[state, event]
     except KeyError:
--- a/winglift/model/teams.py
+++ b/winglift/model/teams.py
@@ -13,6 +13,8 @@
 
 @dataclass(slots=True)
 class Amounts:
+    """CPUs and GPUs in use."""
+
     cpus: float = 0.0
     gpus: float = 0.0
 
@@ -25,11 +27,13 @@
     used: dict[str, Amounts] = field(default_factory=lambda: defaultdict(Amounts))
 
     def add(self, spec: Submission, tasks: int = 1) -> None:
+        """Tasks of this size take places."""
         used = self.used[spec.team]
         used.cpus += spec.cpus * tasks
         used.gpus += spec.gpus * tasks
 
     def remove(self, spec: Submission, tasks: int = 1) -> None:
+        """Tasks of this size are proven off."""
         self.add(spec, -tasks)
 
     def room_for(self, spec: Submission) -> int:
@@ -52,6 +56,7 @@
         return (team.cpus <= 0 or cpus <= team.cpus + EPS) and (team.gpus <= 0 or gpus <= team.gpus + EPS)
 
     def borrows(self, name: str) -> bool:
+        """Does the team use more than its guarantee?"""
         used = self.used[name]
         return not self.within_guarantee(name, used.cpus, used.gpus)
 
