--- a/tests/test_further_meetings.py
+++ b/tests/test_further_meetings.py
@@ -9,7 +9,7 @@
 
 import pytest
 from meeting import Meeting
-from troubles import FURTHER, TROUBLES, close_looks, deliver_everywhere, small_jobs
+from troubles import FURTHER, TROUBLES, at_each_new_leader, close_looks, deliver_everywhere, small_jobs
 
 from standins.world import Cut, Delayed, Message
 
@@ -128,7 +128,7 @@
         if old:
             m.lasts(0.0, 15.0, lambda: setattr(m, "kept_reports", 1.0), lambda: setattr(m, "kept_reports", 0.0))
             for delay in (0.0, 0.06, 0.5, 1.5):
-                _at_each_new_leader(m, lambda delay=delay: m.scene.later(delay, deliver_everywhere, m, _idle(m)))
+                at_each_new_leader(m, lambda delay=delay: m.scene.later(delay, deliver_everywhere, m, _idle(m)))
         m.scene.later(24.0, begin, m)
         m.crash(24.0 + after_s, m.leads, 3.0)
         m.crash(24.0 + after_s + 6.0, m.leads, 0.4)
@@ -275,26 +275,12 @@
             m.scene.later(25.0, m.scene.die, 2)
         m.crash(45.0, m.leads, 3.0)
         delay = {"before the records": 0.0, "before its first report": 0.06, "later": 1.5}[moments]
-        _at_each_new_leader(m, lambda: m.scene.later(delay, deliver_everywhere, m, _idle(m) + m.reports[-60:]))
+        at_each_new_leader(m, lambda: m.scene.later(delay, deliver_everywhere, m, _idle(m) + m.reports[-60:]))
 
     meeting = Meeting((course,), 4, wide=True, jobs=0, run_s=40.0)
     assert meeting.reports and meeting.breaks() == []
 
 
-def _at_each_new_leader(m: Meeting, what) -> None:  # type: ignore[no-untyped-def]
-    seen: list[int] = []
-
-    def look() -> None:
-        record = m.scene.state.keys.get("leader")
-        if record is not None and record[1] not in seen:
-            seen.append(record[1])
-            if len(seen) > 1:
-                what()
-        m.scene.later(0.005, look)
-
-    m.scene.later(0.0, look)
-
-
 # -- one-task jobs, four a second --------------------------------------------------------------
 
 
--- a/tests/troubles.py
+++ b/tests/troubles.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Callable
 
 from meeting import Meeting
 
@@ -220,19 +221,27 @@
 
 def old_reports(m: Meeting, at: float) -> None:
     """Copies of reports are kept, and reach every node as soon as another leader begins, and again a little later."""
-    leaders: list[object] = []
+
+    def deliver() -> None:
+        for delay in (0.0, 0.05, 0.3, 1.0, 2.6):
+            m.scene.later(delay, deliver_everywhere, m, m.rng.sample(m.reports, min(30, len(m.reports))))
+
+    m.lasts(at - 15.0, 75.0, lambda: setattr(m, "kept_reports", 0.3), lambda: setattr(m, "kept_reports", 0.0))
+    at_each_new_leader(m, deliver)
+
+
+def at_each_new_leader(m: Meeting, what: Callable[[], None]) -> None:
+    """Called as soon as a leader that is not the day's first has taken the key."""
+    seen: list[int] = []
 
     def look() -> None:
         record = m.scene.state.keys.get("leader")
-        if record is not None and record[1] not in leaders:
-            leaders.append(record[1])
-            if len(leaders) > 1:
-                for delay in (0.0, 0.05, 0.3, 1.0, 2.6):
-                    m.scene.later(delay, deliver_everywhere, m, m.rng.sample(m.reports, min(30, len(m.reports))))
-        if m.scene.loop.now < m.over + 5.0:
-            m.scene.later(0.01, look)
+        if record is not None and record[1] not in seen:
+            seen.append(record[1])
+            if len(seen) > 1:
+                what()
+        m.scene.later(0.005, look)
 
-    m.lasts(at - 15.0, 75.0, lambda: setattr(m, "kept_reports", 0.3), lambda: setattr(m, "kept_reports", 0.0))
     m.scene.later(0.0, look)
 
 
