--- a/winglift/controller/handover.py
+++ b/winglift/controller/handover.py
@@ -11,7 +11,7 @@
 from .. import constants as c
 from ..cloud.inventory import Inventory
 from ..duties.page import Page, pack_names, unpack_names
-from ..model.blame import suspect
+from ..model.failure_attribution import suspect
 from ..model.machine import MachineEvent, MachineState
 from ..model.picture import Picture
 from ..model.records import BadRecord
@@ -23,6 +23,8 @@
 
 
 class Handover:
+    """Writes the moments that a successor must know into the duty page, and takes over those of the holder before."""
+
     def __init__(self, picture: Picture, inventory: Inventory, leaving: Leaving, view: View) -> None:
         self.picture = picture
         self.inventory = inventory
--- a/winglift/controller/view.py
+++ b/winglift/controller/view.py
@@ -12,8 +12,8 @@
 from ..cloud.inventory import Inventory
 from ..config.script import Script
 from ..config.settings import Settings
-from ..model.blame import suspect
 from ..model.entities import Job, Load, Machine
+from ..model.failure_attribution import suspect
 from ..model.job import JobState
 from ..model.machine import MachineState
 from ..model.picture import Picture, zone_counts
@@ -47,6 +47,8 @@
 
 
 class View:
+    """Builds the snapshot that the policy plans from; keeps what it may reuse from one cycle to the next."""
+
     def __init__(
         self, settings: Settings, picture: Picture, inventory: Inventory, script: Script, may_rent: Callable[[], bool]
     ) -> None:
@@ -83,6 +85,7 @@
         cut: frozenset[str] = frozenset(),
         attended: frozenset[str] | None = None,
     ) -> policy.Snapshot:
+        """The state of rooms, waiting work and quotas at `now` (steady time, s); `cut`: zones out of reach."""
         picture, today = self.picture, wall()
         jobs = sorted((j for j in picture.jobs.values() if j.state is JobState.OPEN), key=attrgetter("submitted"))
         within = self._owed(jobs)
@@ -126,7 +129,7 @@
             now=today,
             rooms=rooms,
             needs=needs,
-            ledger=picture.ledger,
+            quota=picture.quota,
             types=self.types,
             refused=self.inventory.refused_now(now),
             reserves=warm_reserves(self._aims, self.recent, self.types, self.script, today),
@@ -147,7 +150,7 @@
         """Of these, in the order of their submission: those that their teams' guarantees cover beside the earlier."""
         within: set[str] = set()
         sums: dict[str, tuple[float, float]] = {}
-        covers = self.picture.ledger.within_guarantee
+        covers = self.picture.quota.within_guarantee
         for job in jobs:
             spec, tasks = job.spec, job.unfinished()
             before = sums.get(spec.team, (0.0, 0.0))
