--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -34,6 +34,7 @@
 
 
 def status_of(record: records.JobRecord, ref: str) -> StatusReply:
+    """What a user is told of a job by its record."""
     state = JobState(record.state)
     done = records.done_count(record)
     if state is JobState.DONE:
@@ -62,6 +63,8 @@
 
 
 class Jobs:
+    """Submissions, questions and cancellations on one node, each decided by the state service's word."""
+
     def __init__(
         self,
         settings: Settings,
@@ -115,6 +118,7 @@
         return reply
 
     async def submit(self, spec: Submission) -> tuple[int, StatusReply]:
+        """Accept a job, or find that it is known: status code and reply. Raises NeverRuns or NotNow."""
         end = self._ends.get(spec.ref)
         if end is not None:
             return 200, end
@@ -160,6 +164,7 @@
         return 201, StatusReply(spec.ref, JobStatus.QUEUED)
 
     async def cancel(self, ref: str) -> StatusReply | None:
+        """Cancel a job, unless it is done; None if it was never accepted. Raises NotNow."""
         end = self._ends.get(ref)
         if end is not None:
             return end
--- a/winglift/net/budget.py
+++ b/winglift/net/budget.py
@@ -28,6 +28,7 @@
         self.tokens = min(self.tokens, burst)
 
     def take(self, now: float, amount: float = 1.0) -> bool:
+        """Take tokens now, if there are so many."""
         self._fill(now)
         if self.tokens < min(amount, self.burst):
             return False
--- a/winglift/net/client.py
+++ b/winglift/net/client.py
@@ -34,6 +34,8 @@
 
 @dataclass(slots=True)
 class Reply:
+    """An HTTP answer."""
+
     status: int
     body: bytes
     retry_after: float | None = None
--- a/winglift/wire/back.py
+++ b/winglift/wire/back.py
@@ -20,6 +20,8 @@
 
 
 class FrameType(IntEnum):
+    """What a frame between two nodes holds."""
+
     STATE = 1  # what a node knows: term, whether it leads, whether the state service answers it
     RELAY = 2  # a worker's report, handed to the leader
     RELAYED = 3  # the leader's answer to it
@@ -37,6 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Header:
+    """The head of a frame: type, number of the request, length of the body."""
+
     type: FrameType | None  # None: one that a later version sends; its body is passed over
     request: int
     length: int
@@ -44,6 +48,8 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerState:
+    """What a node says of itself every BACK_STATE_S."""
+
     term: int
     leads: bool
     state_ok: bool
@@ -52,18 +58,22 @@
 
 @dataclass(frozen=True, slots=True)
 class JobNote:
+    """A committed job record, told to another node."""
+
     version: int
     ref: str
     record: bytes
 
 
 def frame(kind: FrameType, request: int, body: bytes) -> bytes:
+    """A whole frame. Raises BadFrame if the body is too long."""
     if len(body) > MAX_FRAME:
         raise BadFrame("body too long")
     return HEADER.pack(MAGIC, kind, request, len(body)) + body
 
 
 def parse_header(data: bytes) -> Header:
+    """The head of a frame. Raises BadFrame."""
     if len(data) != HEADER.size:
         raise BadFrame("short header")
     magic, kind, request, length = HEADER.unpack(data)
@@ -73,10 +83,12 @@
 
 
 def pack_state(state: PeerState) -> bytes:
+    """The body of a STATE frame."""
     return _STATE.pack(state.term, state.leads, state.state_ok) + state.node.encode()
 
 
 def parse_state(body: bytes) -> PeerState:
+    """The reverse of `pack_state`. Raises BadFrame."""
     try:
         term, leads, state_ok = _STATE.unpack_from(body)
         return PeerState(term, bool(leads), bool(state_ok), body[_STATE.size :].decode())
@@ -85,10 +97,12 @@
 
 
 def pack_answer(status: int, body: bytes) -> bytes:
+    """The body of a RELAYED frame: status and body of an answer."""
     return _STATUS.pack(status) + body
 
 
 def parse_answer(body: bytes) -> tuple[int, bytes]:
+    """The reverse of `pack_answer`. Raises BadFrame."""
     try:
         return _STATUS.unpack_from(body)[0], body[_STATUS.size :]
     except struct.error:
@@ -125,6 +139,7 @@
 
 
 def parse_fleet(body: bytes) -> Fleet:
+    """The reverse of `pack_fleet`. Raises BadFrame."""
     found: dict[str, dict[str, float]] = {}
     silent: dict[str, float] = {}
     try:
@@ -169,6 +184,7 @@
 
 
 def parse_proofs(body: bytes) -> list[tuple[str, str]]:
+    """The reverse of `pack_proofs`. Raises BadFrame."""
     try:
         (count,), at = _COUNT.unpack_from(body), _COUNT.size
         found: list[tuple[str, str]] = []
@@ -182,11 +198,13 @@
 
 
 def pack_job(note: JobNote) -> bytes:
+    """The body of a JOB frame."""
     ref = note.ref.encode()
     return _JOB.pack(note.version, len(ref)) + ref + note.record
 
 
 def parse_job(body: bytes) -> JobNote:
+    """The reverse of `pack_job`. Raises BadFrame."""
     try:
         version, size = _JOB.unpack_from(body)
         ref = body[_JOB.size : _JOB.size + size]
--- a/winglift/wire/cloud.py
+++ b/winglift/wire/cloud.py
@@ -19,6 +19,8 @@
         "zones": "halls",
     },
 ):
+    """A machine type: amounts in CPUs, GPUs and GB, prices per hour."""
+
     name: str
     cpus: float
     gpus: float
@@ -32,6 +34,8 @@
 
 
 class Types(msgspec.Struct, frozen=True, rename={"types": "rigTypes"}):
+    """Answer of GET /flavors."""
+
     types: list[msgspec.Raw]  # each by itself: one that can't be read must not hide the others
 
 
@@ -72,6 +76,8 @@
         "spot": "loaner",
     },
 ):
+    """Body of POST /hosts."""
+
     request: str
     type: str
     zone: str
@@ -80,6 +86,8 @@
 
 
 class Names(msgspec.Struct, frozen=True, rename={"machines": "rigs"}):
+    """Answer of POST /hosts, and body of POST /hosts/delete."""
+
     machines: list[str]
 
 
@@ -97,6 +105,8 @@
         "age_s": "ageS",
     },
 ):
+    """One machine of a list."""
+
     name: str
     addr: str = ""
     type: str
@@ -107,5 +117,7 @@
 
 
 class Listing(msgspec.Struct, frozen=True, rename={"machines": "rigs", "more": "truncated"}):
+    """Answer of GET /hosts: one page."""
+
     machines: list[Listed]
     more: bool = False
--- a/winglift/wire/state.py
+++ b/winglift/wire/state.py
@@ -8,6 +8,8 @@
 
 
 class Item(msgspec.Struct, frozen=True, rename={"key": "k", "value": "v", "version": "keyRev", "lease": "permit"}):
+    """A key with its value and the revision of its latest change."""
+
     key: str
     value: msgspec.Raw
     version: int
@@ -15,45 +17,63 @@
 
 
 class Page(msgspec.Struct, frozen=True, rename={"more": "truncated", "revision": "ledgerRev"}):
+    """One page of a listing."""
+
     items: list[Item]
     revision: int
     more: bool = False
 
 
 class Condition(msgspec.Struct, frozen=True, rename={"key": "k", "version": "keyRev"}):
+    """The key must have this version; 0: it must not exist."""
+
     key: str
     version: int
 
 
 class Put(msgspec.Struct, frozen=True, omit_defaults=True, rename={"key": "write", "value": "v", "lease": "permit"}):
+    """Write a value; with a lease, the key lives as long as that."""
+
     key: str
     value: Any
     lease: int | None = None
 
 
 class Drop(msgspec.Struct, frozen=True, rename={"key": "drop"}):
+    """Remove a key."""
+
     key: str
 
 
 class Transaction(msgspec.Struct, frozen=True, rename={"conditions": "if", "changes": "then"}):
+    """Body of POST /commit."""
+
     conditions: list[Condition]
     changes: list[Any]  # Put and Drop
 
 
 class Committed(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev"}):
+    """Answer: carried out at this revision."""
+
     revision: int
 
 
 class Conflict(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev"}):
+    """Answer: these keys had other versions."""
+
     failed: list[str]
     revision: int = 0
 
 
 class Grant(msgspec.Struct, frozen=True, rename={"lease": "permit"}):
+    """Answer of POST /grants."""
+
     lease: int
 
 
 class GrantRequest(msgspec.Struct, frozen=True, rename={"ttl_ms": "lifeMs"}):
+    """Body of POST /grants."""
+
     ttl_ms: int
 
 
@@ -68,6 +88,8 @@
         "version": "keyRev",
     },
 ):
+    """One change: a put or a removal."""
+
     put: str | None = None
     delete: str | None = None
     value: msgspec.Raw = msgspec.Raw(b"")  # empty for a deletion; Raw allows no union with null
@@ -75,5 +97,7 @@
 
 
 class Changes(msgspec.Struct, frozen=True, rename={"revision": "ledgerRev", "events": "news"}):
+    """Answer of GET /changes."""
+
     revision: int
     events: list[Event]
--- a/winglift/wire/users.py
+++ b/winglift/wire/users.py
@@ -15,12 +15,16 @@
 
 
 class Kind(StrEnum):
+    """A job's shape."""
+
     ARRAY = "array"
     GANG = "ensemble"
     SERVICE = "daemon"
 
 
 class Priority(StrEnum):
+    """A job's urgency."""
+
     PRODUCTION = "production"
     HIGH = "urgent"
     NORMAL = "normal"
@@ -28,6 +32,7 @@
 
     @property
     def rank(self) -> int:
+        """The larger, the more urgent; production is the highest."""
         return _RANK[self]
 
 
@@ -35,6 +40,8 @@
 
 
 class JobStatus(StrEnum):
+    """What a user is told of a job."""
+
     QUEUED = "queued"
     RUNNING = "running"
     DONE = "done"
@@ -69,6 +76,8 @@
         "due_s": "dueS",
     },
 ):
+    """Body of POST /work (PROTOCOL, "POST /work")."""
+
     ref: str
     job_class: str
     team: str
@@ -92,6 +101,8 @@
 
 
 class StatusReply(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What a user is told: status and counts of tasks."""
+
     ref: str
     status: JobStatus
     done: int | None = None
@@ -105,6 +116,7 @@
 
 
 def is_ref(text: str) -> bool:
+    """Has the text the form of a job id?"""
     return REF.match(text) is not None
 
 
@@ -144,4 +156,5 @@
 
 
 def encode(value: Any) -> bytes:
+    """A message as JSON."""
     return msgspec.json.encode(value)
--- a/winglift/wire/workers.py
+++ b/winglift/wire/workers.py
@@ -16,6 +16,8 @@
 
 
 class Phase(StrEnum):
+    """A task's state in a report."""
+
     FETCHING = "fetching"
     WAITING = "waiting"
     RUNNING = "running"
@@ -24,6 +26,8 @@
 
 
 class Why(StrEnum):
+    """Why a task has ended."""
+
     DONE = "done"
     STOPPED = "halted"
     PEERS = "peers"
@@ -53,6 +57,8 @@
         "why": "exitCause",
     },
 ):
+    """One task of a report."""
+
     task: str
     attempt: int
     phase: Phase
@@ -81,6 +87,8 @@
         "tasks": "pieces",
     },
 ):
+    """A worker's report."""
+
     machine: str
     addr: str
     type: str
@@ -104,6 +112,8 @@
         "grace_s": "windDownS",
     },
 ):
+    """One command: run, halt or reap."""
+
     op: str
     task: str
     attempt: int
@@ -111,17 +121,23 @@
 
 
 class Commands(msgspec.Struct, frozen=True, rename={"token": "baton", "commands": "orders"}):
+    """Answer to a report."""
+
     token: int
     commands: list[Command]
 
 
 class DirectCommands(msgspec.Struct, frozen=True, rename={"token": "baton", "session": "shift", "commands": "orders"}):
+    """Body of POST /commands."""
+
     token: int
     session: int
     commands: list[Command]
 
 
 class Redirect(msgspec.Struct, frozen=True, omit_defaults=True, rename={"report_to": "reportsTo"}):
+    """Answer with 421: the node to report to, if one is named."""
+
     report_to: str | None = None
 
 
@@ -129,6 +145,7 @@
 
 
 def parse_report(body: bytes) -> Report:
+    """A report's body, decoded. Raises Invalid."""
     try:
         report = _decoder.decode(body)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as err:
@@ -143,12 +160,15 @@
 
 
 def run(task: str, attempt: int) -> Command:
+    """Start this attempt of a task."""
     return Command("run", task, attempt)
 
 
 def halt(task: str, attempt: int, grace_s: float) -> Command:
+    """Stop this attempt; `grace_s` is left to save."""
     return Command("halt", task, attempt, grace_s)
 
 
 def reap(task: str, attempt: int) -> Command:
+    """Forget an ended attempt."""
     return Command("reap", task, attempt)
