--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -15,7 +15,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from test_leader import leader
-from test_mirror import FakeState
+from test_read_cache import FakeState
 
 from winglift import constants as c
 from winglift.cloud.client import CloudClient, NotEntitled
