--- a/standins/worker.py
+++ b/standins/worker.py
@@ -80,7 +80,7 @@
 
     def _forget(self) -> None:
         for key in list(self.tasks):
-            self._leave(key)
+            self.gangs.leave(self, key)
         self.tasks.clear()
         for task in self._running.values():
             task.cancel()
@@ -159,10 +159,7 @@
         """The task ends now; its gang will notice."""
         if key in self.tasks and self.tasks[key]["status"] != "ended":
             self.tasks[key].update(status="ended", exitCause=why)
-            self._leave(key)
-
-    def _leave(self, key: tuple[str, int]) -> None:
-        self.gangs.leave(self, key)
+            self.gangs.leave(self, key)
 
     async def _run(self) -> None:
         clients: dict[str, Requests] = {}
--- a/tests/meeting.py
+++ b/tests/meeting.py
@@ -54,7 +54,7 @@
         )
         self.over = 0.0  # when the last trouble ends
         self.late_writes = self.late_reports = self.held_commands = 0.0  # shares
-        self.lost_answers = self.slow_answers = self.kept_reports = 0.0  # the same, of what `more_troubles` needs
+        self.lost_answers = self.slow_answers = self.kept_reports = 0.0  # the same, for the further troubles
         self.command_delay_s = (1.0, 9.0)
         self.reports: list[tuple[str, bytes]] = []  # copies kept for the next leader: machine, body
         scene.state.late_s = self._late_write
