--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -15,13 +15,24 @@
 from .processes import Processes
 from .worker import Describe, Worker
 
-TYPE: dict[str, Any] = {"name": "g4", "cpus": 32.0, "gpus": 4.0, "memGb": 256.0, "cacheGb": 60.0, "pullGbPerS": 100.0,
-        "hourly": 12.0, "spotPrice": 4.0, "bootS": 0.2, "halls": ["a", "b"]}
+TYPE: dict[str, Any] = {
+    "name": "g4",
+    "cpus": 32.0,
+    "gpus": 4.0,
+    "memGb": 256.0,
+    "cacheGb": 60.0,
+    "pullGbPerS": 100.0,
+    "hourly": 12.0,
+    "spotPrice": 4.0,
+    "bootS": 0.2,
+    "halls": ["a", "b"],
+}
 
 
 class Cloud:
-    def __init__(self, controllers: list[tuple[str, str]], run_s: Callable[[str], float],
-                 processes: Processes | None = None) -> None:
+    def __init__(
+        self, controllers: list[tuple[str, str]], run_s: Callable[[str], float], processes: Processes | None = None
+    ) -> None:
         self.processes = processes
         self.controllers = controllers
         self.run_s = run_s
@@ -48,8 +59,14 @@
         for _ in range(min(body["count"], self.capacity - len(self.machines))):
             name = f"vm-{self.number:06d}"
             self.number += 1
-            entry = {"ref": name, "rigType": body["rigType"], "hall": body["hall"], "loaner": body["loaner"],
-                     "endpoint": "127.0.0.1:1", "status": "booting"}
+            entry = {
+                "ref": name,
+                "rigType": body["rigType"],
+                "hall": body["hall"],
+                "loaner": body["loaner"],
+                "endpoint": "127.0.0.1:1",
+                "status": "booting",
+            }
             self.machines[name] = (entry, None, steady())
             asyncio.get_running_loop().call_later(self.type["bootS"], self._boot, name)
             names.append(name)
@@ -63,8 +80,9 @@
         if name not in self.machines:
             return
         entry, _, began = self.machines[name]
-        worker = Worker(entry, self.controllers, self.run_s, self.report_s, self.lease_s,
-                        self.processes, self.describe, self.gangs)
+        worker = Worker(
+            entry, self.controllers, self.run_s, self.report_s, self.lease_s, self.processes, self.describe, self.gangs
+        )
         worker.fetch_gb_per_s = self.type["pullGbPerS"]
         entry["status"] = "running"
         self.machines[name] = (entry, worker, began)
--- a/standins/files.py
+++ b/standins/files.py
@@ -77,5 +77,11 @@
 
 def application(store: Store) -> web.Application:
     args = {"store": store}
-    return web.Application([(r"/blobs/([0-9a-f]{64})", _Blob, args), (r"/tasks/([^/]+)/([0-9]+)", _Tasks, args),
-                            (r"/results/([^/]+)", _Results, args)], log_function=lambda handler: None)
+    return web.Application(
+        [
+            (r"/blobs/([0-9a-f]{64})", _Blob, args),
+            (r"/tasks/([^/]+)/([0-9]+)", _Tasks, args),
+            (r"/results/([^/]+)", _Results, args),
+        ],
+        log_function=lambda handler: None,
+    )
--- a/standins/state.py
+++ b/standins/state.py
@@ -181,8 +181,15 @@
 
 def application(service: StateService) -> web.Application:
     args = {"service": service}
-    return web.Application([
-        (r"/store/(.+)", _Key, args), (r"/store", _List, args), (r"/commit", _Commit, args),
-        (r"/grants", _Grants, args), (r"/grants/([0-9]+)/touch", _Grant, args), (r"/grants/([0-9]+)", _Grant, args),
-        (r"/changes", _Changes, args),
-    ], log_function=lambda handler: None)
+    return web.Application(
+        [
+            (r"/store/(.+)", _Key, args),
+            (r"/store", _List, args),
+            (r"/commit", _Commit, args),
+            (r"/grants", _Grants, args),
+            (r"/grants/([0-9]+)/touch", _Grant, args),
+            (r"/grants/([0-9]+)", _Grant, args),
+            (r"/changes", _Changes, args),
+        ],
+        log_function=lambda handler: None,
+    )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -25,9 +25,17 @@
 class Worker:
     try_s, again_s = 1.0, 0.05  # s that a node may take to answer, and until the next is tried; real ones take 4 and 1
 
-    def __init__(self, entry: dict[str, Any], controllers: list[tuple[str, str]], run_s: Callable[[str], float],
-                 report_s: float, lease_s: float, processes: Processes | None = None,
-                 describe: Describe = lambda ref: None, gangs: Gangs | None = None) -> None:
+    def __init__(
+        self,
+        entry: dict[str, Any],
+        controllers: list[tuple[str, str]],
+        run_s: Callable[[str], float],
+        report_s: float,
+        lease_s: float,
+        processes: Processes | None = None,
+        describe: Describe = lambda ref: None,
+        gangs: Gangs | None = None,
+    ) -> None:
         self.entry = entry
         self.controllers = controllers
         self.run_s = run_s
@@ -56,8 +64,10 @@
             sock.close()
             self.entry["endpoint"] = f"127.0.0.1:{port}"
         host, _, number = self.entry["endpoint"].partition(":")
-        app = web.Application([(r"/commands", _Commands, {"worker": self}), (r"/show", _Show, {"worker": self})],
-                              log_function=lambda handler: None)
+        app = web.Application(
+            [(r"/commands", _Commands, {"worker": self}), (r"/show", _Show, {"worker": self})],
+            log_function=lambda handler: None,
+        )
         self._server = here().serve(app, host, int(number))
         self._loop = asyncio.ensure_future(self._run())
 
@@ -92,9 +102,18 @@
                 task["status"], task["exitCause"] = "ended", "done"
                 self.changed(self, "done", task["piece"])
         pieces = [{k: v for k, v in t.items() if k != "ends"} for t in self.tasks.values()]
-        return {"rig": self.entry["ref"], "endpoint": self.entry["endpoint"], "rigType": self.entry["rigType"],
-                "hall": self.entry["hall"], "loaner": self.entry["loaner"], "shift": self.session, "tick": self.seq,
-                "baton": self.token, "recallS": None, "pieces": pieces}
+        return {
+            "rig": self.entry["ref"],
+            "endpoint": self.entry["endpoint"],
+            "rigType": self.entry["rigType"],
+            "hall": self.entry["hall"],
+            "loaner": self.entry["loaner"],
+            "shift": self.session,
+            "tick": self.seq,
+            "baton": self.token,
+            "recallS": None,
+            "pieces": pieces,
+        }
 
     def obey(self, orders: list[dict[str, Any]]) -> None:
         for order in orders:
--- a/standins/world.py
+++ b/standins/world.py
@@ -140,10 +140,12 @@
     def _cut(self, source: Host, target: Host) -> Cut | None:
         def fits(name: str, host: Host) -> bool:
             return name in ("", host.name, f"@{host.zone}")
+
         return next((c for c in self.cuts if fits(c.source, source) and fits(c.target, target)), None)
 
-    def send(self, source: Host, target: Host, what: str, body: bytes, deliver: Callable[[], None],
-             after: float = 0.0) -> float:
+    def send(
+        self, source: Host, target: Host, what: str, body: bytes, deliver: Callable[[], None], after: float = 0.0
+    ) -> float:
         """Deliver in the target's context; when it will be, or infinity if that is not known."""
         self.number += 1
         message = Message(source.name, target.name, what, body, self.number)
@@ -156,6 +158,7 @@
         def arrive() -> None:
             if not target.crashed:
                 self.loop.call_soon(deliver, context=target.context)
+
         if verdict == "hold":
             self.kept.append(arrive)
         elif cut is not None and cut.hold:
@@ -307,16 +310,19 @@
             def arrive() -> None:
                 if not answer.done():
                     answer.set_result(reply)
+
             net.send(target, host, f"answer {name}", reply.body, arrive)
 
         def handle() -> None:
             delegate = server.delegate.start_request(object(), _Exchange(back))
-            headers = httputil.HTTPHeaders({"Host": self.address, "Content-Length": str(len(body or b"")),
-                                            "X-From": host.name})
+            headers = httputil.HTTPHeaders(
+                {"Host": self.address, "Content-Length": str(len(body or b"")), "X-From": host.name}
+            )
             delegate.headers_received(httputil.RequestStartLine(method, path, "HTTP/1.1"), headers)
             if body:
                 delegate.data_received(body)
             delegate.finish()
+
         if self._known or net._cut(host, target) is None:
             net.send(host, target, name, body or b"", handle)
         try:
--- a/tests/test_batcher.py
+++ b/tests/test_batcher.py
@@ -83,6 +83,7 @@
             batcher.flush()
             while batcher._running:
                 await asyncio.sleep(0.01)
+
     asyncio.run(run())
 
 
@@ -111,6 +112,7 @@
             await asyncio.sleep(0.01)
         batcher.stop()
         return running
+
     assert asyncio.run(first()) == 1
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -42,6 +42,7 @@
     def found(others: list[On] = [], **spec) -> list[str]:  # noqa: B006
         mine = Job({**job.spec, **spec}, confirmed=job.confirmed)
         return [b.partition(":")[0] for b in start_breaks(start, others, {**jobs, "wk-1": mine}, 4.0, CANCEL_S, 100.0)]
+
     assert found() == [] and found([On("wk-1/1", "vm-2", "b"), On("wk-2/0", "vm-2", "b")], gpus=0.5) == []
     assert found([On("wk-1/0", "vm-2", "b")]) == ["ran_twice"]
     assert found([On("wk-2/0", "vm-2", "b")], gpus=1.5) == ["quota"]
--- a/tests/test_submissions.py
+++ b/tests/test_submissions.py
@@ -12,6 +12,7 @@
 
 def test_a_submission_during_whose_look_up_the_types_come_is_not_told_that_it_can_never_run():
     """Found in simulated time: a user who came in the first 10 ms of a node was told 422."""
+
     async def scenario() -> None:
         types: dict = {}
 
@@ -23,12 +24,15 @@
                 types["g4"] = TYPE
                 await asyncio.sleep(0)
                 return None
+
         jobs = Jobs(settings(), State(), lambda: types, lambda *args: None)  # type: ignore[arg-type]
 
         async def status(ref):
             await State().get(ref)
             return None
+
         jobs.status = status  # type: ignore[method-assign]
         with pytest.raises(NotNow):
             await jobs.submit(spec())
+
     simulated(scenario())
--- a/winglift/api/handlers.py
+++ b/winglift/api/handlers.py
@@ -77,7 +77,6 @@
             self.set_header("Connection", "close")
             self.refuse(503, "too many connections", c.RETRY_AFTER_S)
 
-
     async def tell(self, ask: Callable[[], Awaitable[tuple[int, object]]], missing: str = "no such job") -> None:
         """Answer with status and reply, None being 404, or say what stands against it."""
         try:
@@ -102,6 +101,7 @@
     async def post(self) -> None:
         async def ask() -> tuple[int, object]:
             return await self.node.jobs.submit(users.parse_submission(self.request.body))
+
         await self.tell(ask)
 
 
@@ -116,6 +116,7 @@
 
         async def ask() -> tuple[int, object]:
             return 200, await about(ref)
+
         await self.tell(ask)
 
 
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -49,8 +49,11 @@
     team = next((t for t in settings.settings.teams if t.name == spec.team), None)
     if team is None:
         return f"owner: unknown team {spec.team}"
-    allowed = [t for t in types.values() if (spec.types is None or t.name in spec.types)
-               and (spec.zone is None or spec.zone in t.zones)]
+    allowed = [
+        t
+        for t in types.values()
+        if (spec.types is None or t.name in spec.types) and (spec.zone is None or spec.zone in t.zones)
+    ]
     if not any(spec.cpus <= t.cpus and spec.gpus <= t.gpus and spec.memory_gb <= t.memory_gb for t in allowed):
         return "a task fits no allowed machine type"
     if exceeds_limit(team, spec):
@@ -59,10 +62,15 @@
 
 
 class Jobs:
-    def __init__(self, settings: Settings, state: StateClient, types: Callable[[], dict[str, MachineType]],
-                 on_change: Callable[[str, int, records.JobRecord], None],
-                 missing: Callable[[], dict[str, MachineType]] = dict,
-                 on_seen: Callable[[str, int, records.JobRecord], None] = lambda ref, version, record: None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        types: Callable[[], dict[str, MachineType]],
+        on_change: Callable[[str, int, records.JobRecord], None],
+        missing: Callable[[], dict[str, MachineType]] = dict,
+        on_seen: Callable[[str, int, records.JobRecord], None] = lambda ref, version, record: None,
+    ) -> None:
         self.settings = settings
         self.state = state
         self.types = types
@@ -71,8 +79,9 @@
         self._on_seen = on_seen  # a record that anybody has committed, as users are told of it here
         self._ends: OrderedDict[str, StatusReply] = OrderedDict()
         looks = settings.settings.state.rps * state.follower_share() * c.LOOK_SHARE
-        self._mirror: Mirror[StatusReply] = Mirror(state, lambda ref, record: status_of(record, ref), 1 / looks,
-                                                   on_seen)
+        self._mirror: Mirror[StatusReply] = Mirror(
+            state, lambda ref, record: status_of(record, ref), 1 / looks, on_seen
+        )
 
     def remember_end(self, ref: str, reply: StatusReply) -> None:
         """An end never changes, so it may be answered without asking."""
