Reports: a debug line says when a lease is renewed without a leader

Change: a debug line where a node renews a worker's lease by itself, with the report's token, the term that the node knows and the number of tasks.

--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -235,6 +235,13 @@
         term = max(report.token, self.node.known_term())
         if term == 0:
             return 503, msgspec.json.encode({"error": "no leader yet"})
+        log.debug(
+            "report: lease renewed without a leader: machine=%s token=%d known_term=%d tasks=%d",
+            report.machine,
+            report.token,
+            self.node.known_term(),
+            len(report.tasks),
+        )
         return 200, msgspec.json.encode(worker_messages.Commands(term, []))
 
 
