--- a/winglift/cluster/peer.py
+++ b/winglift/cluster/peer.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from tornado.iostream import StreamClosedError
+
 from .. import constants
 from ..config.settings import Seed
 from ..net.runtime import Stream
@@ -36,3 +38,24 @@
     def fresh(self, now: float) -> bool:
         """Whether its last heartbeat is younger than PEER_STATE_MAX_AGE_S."""
         return self.last_state is not None and now - self.last_state_at < constants.PEER_STATE_MAX_AGE_S
+
+    def connected(self) -> bool:
+        """Whether this node's connection to it is open."""
+        return self.stream is not None and not self.stream.closed()
+
+    def send(self, frame_type: peer_messages.FrameType, body: bytes) -> None:
+        """Send a frame that needs no answer; it is lost if there is no connection."""
+        if self.stream is None or self.stream.closed():
+            return
+        try:
+            self.stream.write(peer_messages.frame(frame_type, 0, body))
+        except (StreamClosedError, peer_messages.BadFrame):
+            pass
+
+    def expire_requests(self, now: float) -> None:
+        """Remove the requests whose deadline is not after `now`, and report that they got no answer."""
+        for number, request in list(self.pending_requests.items()):
+            if request.deadline > now:
+                break
+            del self.pending_requests[number]
+            request.on_answer(None)
--- a/winglift/cluster/peer_connections.py
+++ b/winglift/cluster/peer_connections.py
@@ -81,11 +81,7 @@
 
     def connected(self, except_node: str = "") -> bool:
         """Whether a connection is open to any node other than `except_node`."""
-        return any(
-            peer.stream is not None and not peer.stream.closed()
-            for name, peer in self.by_node.items()
-            if name != except_node
-        )
+        return any(peer.connected() for name, peer in self.by_node.items() if name != except_node)
 
     def any_fresh(self, now: float) -> bool:
         """Whether at least one peer's heartbeat is fresh."""
@@ -228,7 +224,7 @@
                 peer.stream = None
                 if stream is not None:
                     stream.close()
-                self._expire_requests(peer, math.inf)
+                peer.expire_requests(math.inf)
             await asyncio.sleep(
                 constants.PEER_RECONNECT_DELAY_S if closed_by_peer else constants.PEER_CONNECT_RETRY_DELAY_S
             )
@@ -301,8 +297,7 @@
             for start_index in range(
                 0, len(proofs) if peer.acknowledges_records else 0, constants.CANCELLATION_PROOFS_PER_FRAME_MAX
             ):
-                self._send(
-                    peer,
+                peer.send(
                     peer_messages.FrameType.CANCELLATION_PROOFS,
                     peer_messages.pack_proofs(
                         proofs[start_index : start_index + constants.CANCELLATION_PROOFS_PER_FRAME_MAX]
@@ -336,24 +331,15 @@
         self._sweep_scheduled = False
         now = monotonic_time()
         for peer in self.by_node.values():
-            self._expire_requests(peer, now)
+            peer.expire_requests(now)
         if any(peer.pending_requests for peer in self.by_node.values()):
             self._schedule_sweep()
 
-    @staticmethod
-    def _expire_requests(peer: Peer, now: float) -> None:
-        """Remove the requests whose deadline is not after `now`, and report that they got no answer."""
-        for number, request in list(peer.pending_requests.items()):
-            if request.deadline > now:
-                break
-            del peer.pending_requests[number]
-            request.on_answer(None)
-
     def notify_leader(self, note: peer_messages.RecordAnnouncement) -> None:
         """Announce a record to the leader, which would otherwise learn of it later from its watch. May be lost."""
         peer = self.leader(monotonic_time())
         if peer is not None:
-            self._send(peer, peer_messages.FrameType.JOB_RECORD, peer_messages.pack_job(note))
+            peer.send(peer_messages.FrameType.JOB_RECORD, peer_messages.pack_job(note))
 
     @property
     def fleet(self) -> peer_messages.FleetSummary:
@@ -382,14 +368,4 @@
             )
         self._omitted_images = omitted
         for peer in self.by_node.values():
-            self._send(peer, peer_messages.FrameType.FLEET_SUMMARY, body)
-
-    @staticmethod
-    def _send(peer: Peer, frame_type: peer_messages.FrameType, body: bytes) -> None:
-        """Send a frame that needs no answer; it is lost if there is no connection."""
-        if peer.stream is None or peer.stream.closed():
-            return
-        try:
-            peer.stream.write(peer_messages.frame(frame_type, 0, body))
-        except (StreamClosedError, peer_messages.BadFrame):
-            pass
+            peer.send(peer_messages.FrameType.FLEET_SUMMARY, body)
