--- a/tests/golden_examples.py
+++ b/tests/golden_examples.py
@@ -328,4 +328,5 @@
         peer_messages.parse_proofs,
         peer_messages.pack_proofs,
     ),
+    "synchronized": (peer_messages.FrameType.SYNCHRONIZED, 0, b"", b"", unchanged, unchanged),
 }
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -94,6 +94,7 @@
         lambda node: None,
         lambda node: None,
         lambda proofs: None,
+        lambda: None,
     )
     peer = peers.by_node["node-1"] = Peer(Seed("node-1", "a", "10.0.0.2:8081"))
     answers: list[tuple[int, float, tuple[int, bytes] | None]] = []
--- a/winglift/cluster/peer_connections.py
+++ b/winglift/cluster/peer_connections.py
@@ -38,12 +38,14 @@
         on_peer_ended: Callable[[str], None],
         on_connected: Callable[[str], None],
         on_proofs: Callable[[list[tuple[str, str]]], None],
+        on_synchronized: Callable[[], None],
     ) -> None:
         """Initialise without opening connections; `start` opens them.
 
         `own_state` returns the state to send in heartbeats. `on_forwarded_report` and `on_job_record` handle a request
         from a peer and return its answer. `on_peer_ended` is called when a peer's process seems to have ended, and
         `on_connected` when this node has connected to a peer, whose process may have restarted since the last time.
+        `on_synchronized` is called when a peer has announced all confirmed cancellations.
         """
         self.node = node
         self.by_node = {seed.node: Peer(seed) for seed in seeds if seed.node != node}
@@ -54,6 +56,7 @@
         self._on_peer_ended = on_peer_ended
         self._on_connected = on_connected
         self._on_proofs = on_proofs
+        self._on_synchronized = on_synchronized
         # A leader's latest announcement about its machines (encoded until it is needed), and when it was made.
         self._fleet: peer_messages.FleetSummary | bytes = peer_messages.FleetSummary({}, {})
         self.fleet_updated_at = 0.0
@@ -140,6 +143,8 @@
                 self._send_answer(stream, header, status, b"")
         elif header.type is peer_messages.FrameType.CANCELLATION_PROOFS:
             self._on_proofs(peer_messages.parse_proofs(body))
+        elif header.type is peer_messages.FrameType.SYNCHRONIZED:
+            self._on_synchronized()
         elif header.type is peer_messages.FrameType.FLEET_SUMMARY:
             # Kept encoded, since only the next leader needs it: with 970 machines, parsing each announcement took a
             # tenth of a follower's CPU time.
--- a/winglift/controller/leader_term.py
+++ b/winglift/controller/leader_term.py
@@ -42,7 +42,7 @@
 from .fleet_reporter import FleetReporter
 from .pacing import CyclePacer, long_pause_s, pause_s
 from .plan_executor import PlanExecutor
-from .record_watcher import RecordWatcher
+from .record_watcher import RecordListener, RecordWatcher
 from .snapshot_builder import SnapshotBuilder
 from .supervised_tasks import SupervisedTasks
 
@@ -66,6 +66,7 @@
         types: dict[str, MachineType],
         peers: PeerConnections,
         script: Script,
+        record_listener: RecordListener,
     ) -> None:
         self.settings = settings
         self.state = state
@@ -87,7 +88,7 @@
         self._build_duties(cloud)
         self._build_worker_contacts()
         self._build_planning()
-        self._build_observers()
+        self._build_observers(record_listener)
         self._inherit_fleet_summary()
 
     def _build_duties(self, cloud: CloudClient) -> None:
@@ -116,17 +117,13 @@
         self.drainer = Drainer(cluster, inventory, script, self.settings.settings.workers)
         self.failover_hints = FailoverHints(cluster, inventory, self.drainer, reservations)
 
-    def _build_observers(self) -> None:
+    def _build_observers(self, record_listener: RecordListener) -> None:
         """Create the components that watch workers and job records, and send the fleet summary to other nodes."""
-        settings = self.settings
-        self.failure_detector = FailureDetector(
-            self.cluster,
-            settings.settings.workers,
-            settings.settings.skew_ms / 1000,
-            {settings.zone, *(seed.zone for seed in settings.seeds)},
-        )
+        params = self.settings.settings
+        node_zones = {self.settings.zone, *(seed.zone for seed in self.settings.seeds)}
+        self.failure_detector = FailureDetector(self.cluster, params.workers, params.skew_ms / 1000, node_zones)
         self.record_watcher = RecordWatcher(
-            self.state, self.cluster, self.snapshot_builder.add_arrival, self._pacer.wake
+            self.state, self.cluster, self.snapshot_builder.add_arrival, self._pacer.wake, record_listener
         )
         self.fleet_reporter = FleetReporter(self.cluster, self.peers, self.failure_detector, self.image_cache_snapshots)
         self.cluster.on_urgent = self._pacer.wake_urgently
--- a/winglift/controller/record_watcher.py
+++ b/winglift/controller/record_watcher.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 import msgspec
 
@@ -23,6 +24,16 @@
 WATCH_RETRY_S = 0.3
 
 
+class RecordListener(Protocol):
+    """Receives the job records that a leader reads from the state service, whether or not it can act on them yet."""
+
+    def add_record(self, ref: str, version: int, record: records.JobRecord) -> bool:
+        """Process a record that is committed at this version."""
+
+    def on_records_loaded(self) -> None:
+        """Called once all records have been passed to `add_record`, after each complete listing."""
+
+
 class RecordWatcher:
     """Applies job records to the cluster state, in the order of their versions.
 
@@ -36,12 +47,14 @@
         cluster: ClusterState,
         on_new_job: Callable[[float, Submission], None],
         wake: Callable[[], None],
+        listener: RecordListener,
     ) -> None:
         self.state = state
         self.cluster = cluster
         self.loaded = False  # whether all records have been listed
         self._on_new_job = on_new_job
         self._wake = wake
+        self._listener = listener
         self._revision = 0
         self._seen_refs: set[str] = set()
 
@@ -65,6 +78,7 @@
                         len(self.cluster.machines),
                     )
                 self.loaded = True
+                self._listener.on_records_loaded()
                 self.cluster.changed = True
                 await self._watch()
             except RevisionCompacted:
@@ -95,7 +109,9 @@
     def _decode_and_apply(self, key: str, version: int, value: msgspec.Raw, now: float) -> None:
         ref = key[len(records.JOB_PREFIX) :]
         try:
-            self.apply_record(ref, version, records.decode(value), now)
+            record = records.decode(value)
+            self.apply_record(ref, version, record, now)
+            self._listener.add_record(ref, version, record)
         except records.InvalidRecord as err:
             log.error("record invalid, ignored: job=%s error=%s", ref, err)
 
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -85,6 +85,7 @@
             self._on_peer_gone,
             lambda peer: self.cancellation_enforcer.on_peer_connected(peer),
             lambda proofs: self.cancellation_enforcer.on_proofs(proofs),
+            lambda: self.cancellation_enforcer.on_peer_synchronized(),
         )
 
     def _new_jobs(self) -> Jobs:
@@ -232,7 +233,14 @@
         """Start or stop the leader's work after a change of role."""
         if self.election.leadership.role is Role.LEADER:
             self.leader_term = LeaderTerm(
-                self.settings, self.state, self.cloud, self.election, self.types, self.peers, self.script
+                self.settings,
+                self.state,
+                self.cloud,
+                self.election,
+                self.types,
+                self.peers,
+                self.script,
+                self.cancellation_enforcer,
             )
             self.cloud.set_leading(True)
             self.leader_term.start()
--- a/winglift/wire/peer.py
+++ b/winglift/wire/peer.py
@@ -29,6 +29,7 @@
     JOB_RECORD = 4  # a committed job record; if it has a request number, a FORWARDED_ANSWER acknowledges it
     FLEET_SUMMARY = 5  # what only the leader knows about machines, for the node that leads next
     CANCELLATION_PROOFS = 6  # pairs of a cancelled job and a machine proven to run none of its tasks
+    SYNCHRONIZED = 7  # the sender knows all confirmed cancellations and has sent them before this frame; no body
 
 
 _KNOWN_TYPES = frozenset(int(frame_type) for frame_type in FrameType)
--- a/winglift/workers/cancellation_enforcement.py
+++ b/winglift/workers/cancellation_enforcement.py
@@ -22,6 +22,7 @@
 from ..config.settings import Settings
 from ..model import records
 from ..model.cancellations import Cancellation, CancellationEvent, CancellationRegistry, CancellationState
+from ..model.synchronization import SyncEvent, Synchronization, SyncState
 from ..net.runtime import monotonic_time, wall_time
 from ..store.client import Health, OutcomeUnknown, RequestRejected, StateClient
 from ..wire import peer as peer_messages
@@ -92,6 +93,7 @@
             cancel_s,
             int(params.state.write_rps * cancel_s * constants.CANCELLATION_HISTORY_RATIO),
         )
+        self.synchronization = Synchronization()
         self.contacts: dict[str, MachineContact] = {}
         self._stops_in_flight: dict[str, asyncio.Task] = {}
         self._delete_task: asyncio.Task | None = None
@@ -121,6 +123,33 @@
         """Announce all cancellations to this node again: it may have restarted since it was last notified."""
         for cancellation in self.cancellations.by_job.values():
             cancellation.notified.pop(node, None)
+        self._announce_all(self.node.peers.by_node[node])
+
+    def on_records_loaded(self) -> None:
+        """Called when this node, as the leader, has passed all job records to `add_record`."""
+        self._synchronize(SyncEvent.RECORDS_LOADED)
+
+    def on_peer_synchronized(self) -> None:
+        """Called when a synchronized peer has announced all the cancellations that it enforces."""
+        self._synchronize(SyncEvent.PEER_SYNCHRONIZED)
+
+    def _synchronize(self, event: SyncEvent) -> None:
+        if self.synchronization.move(event):
+            log.info("cancellations: all confirmed ones are known: source=%s", event.name.lower())
+            for peer in self.node.peers.by_node.values():
+                self._announce_all(peer)
+
+    def _announce_all(self, peer: Peer) -> None:
+        """Announce all cancellations to a peer, and then that there are no others, if this node knows that.
+
+        Frames of one connection arrive in the order in which they were sent.
+        """
+        now = monotonic_time()
+        for cancellation in self.cancellations.by_job.values():
+            if cancellation.state is not CancellationState.CONFIRMED:
+                self._announce(cancellation, now)
+        if self.synchronization.state is SyncState.SYNCHRONIZED:
+            peer.send(peer_messages.FrameType.SYNCHRONIZED, b"")
 
     def on_proofs(self, proofs: list[tuple[str, str]]) -> None:
         """Apply another node's proofs, each a job and a machine; the job is empty if the machine is deleted."""
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -6,6 +6,9 @@
 the node is in the worker's own zone, a partition between zones does not affect the worker at all. This is safe because
 an expired lease is never taken as proof that tasks have ended (docs/design.md): only a newer report or an answered
 deletion is.
+
+A process that does not know the confirmed cancellations answers 503, whether it leads or not: it has started while no
+node could tell it of them and the records could not be read. Its 200 would keep cancelled tasks alive (invariant 8).
 """
 
 from __future__ import annotations
@@ -23,6 +26,7 @@
 from ..cluster.peer import Peer
 from ..cluster.peer_connections import PeerConnections
 from ..config.settings import Settings
+from ..model.synchronization import SyncState
 from ..net.runtime import monotonic_time
 from ..wire import workers as worker_messages
 from ..wire.users import InvalidMessage
@@ -100,6 +104,7 @@
         """Start without any known worker, and connected to a leader."""
         self.node = node
         self._contacts: dict[str, WorkerContact] = {}
+        self._has_refused = False  # whether a report was refused before the cancellations were known
         workers = node.settings.settings.workers
         self.last_report_at = -math.inf  # monotonic time of the last report received
         self.partition_detector = PartitionDetector(len(node.settings.seeds), workers.lease_s, workers.report_s)
@@ -173,9 +178,12 @@
         return seeds[crc32(machine.encode()) % len(seeds)].node
 
     def _answer_as_leader(self, report: worker_messages.Report) -> Answer | None:
-        """Answer as the leader; None if this node does not lead, or the report's token shows a later term."""
+        """Answer as the leader.
+
+        None if this node does not lead, does not know the cancellations yet, or the report's token shows a later term.
+        """
         leader_term = self.node.leader_term
-        if leader_term is None or report.token > leader_term.term:
+        if leader_term is None or report.token > leader_term.term or not self._is_synchronized():
             return None
         commands = leader_term.on_report(report)
         if commands is None:
@@ -190,6 +198,10 @@
             return 400, msgspec.json.encode({"error": str(err)})
         return answer or (503, msgspec.json.encode({"error": "does not lead"}))
 
+    def _is_synchronized(self) -> bool:
+        """Whether this node knows all confirmed cancellations."""
+        return self.node.cancellation_enforcer.synchronization.state is SyncState.SYNCHRONIZED
+
     def _home_node(self, zone: str, now: float) -> str | None:
         """The node that workers of a zone belong to, or None if it is this node or unknown."""
         settings, peers = self.node.settings, self.node.peers
@@ -231,10 +243,15 @@
         return contact
 
     def _renew_lease(self, report: worker_messages.Report) -> Answer:
-        """An answer without commands, which renews the worker's lease; 503 while no term is known."""
+        """An answer without commands, which renews the worker's lease; 503 if this node is not entitled to that."""
         term = max(report.token, self.node.known_term())
         if term == 0:
             return 503, msgspec.json.encode({"error": "no leader yet"})
+        if not self._is_synchronized():
+            if not self._has_refused:
+                self._has_refused = True
+                log.info("report: refused until the confirmed cancellations are known: machine=%s", report.machine)
+            return 503, msgspec.json.encode({"error": "cancellations not known yet"})
         log.debug(
             "report: lease renewed without a leader: machine=%s token=%d known_term=%d tasks=%d",
             report.machine,
