A process without an answer no longer tells its peers that the state service works

In an outage in which requests hang, a controller that lives on answers 503 to its health checks for a second each time another one restarts, and the balancer may take it out.

Cause: StateClient.health is GOOD until a request has failed, and so is what a new process says in its heartbeats, for up to 1.5 s; its peers conclude that the service refuses them alone.

Change: a heartbeat says so only after an answer (StateClient.is_known_to_work). Tried first: a client that counts as doubtful from its start. Two garbage collection tests failed, whose client has had no answer yet; taken back, since only the heartbeat is a statement to others.

--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -231,3 +231,22 @@
     simulation.state.down = False
     nodes.run(3.0)
     assert states() == [SyncState.SYNCHRONIZED] * 3
+
+
+def test_a_process_that_has_read_nothing_does_not_say_that_the_state_service_works():
+    """Guards against a survivor that fails its health checks, since a restarted peer claims to be served."""
+    nodes = RestartedNodes(8)
+    simulation = nodes.simulation
+    simulation.state.down = True
+    nodes.run(4.0)
+    # The restarted node's requests to the state service hang, as in an outage without answers.
+    simulation.net.watch = lambda message: (
+        "drop" if (message.source, message.target) == ("node-0", "services") else None
+    )
+    nodes.restart_nodes(0)
+    host, survivor = simulation.nodes["node-1"]
+    reasons = set()
+    for _ in range(60):
+        nodes.run(0.1)
+        reasons.add(host.context.run(survivor.unavailable_reason))
+    assert reasons == {None}
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -115,7 +115,8 @@
         # A leader whose lease is in doubt still counts as leader: the reports that other nodes forward to it show which
         # machines are alive.
         leads = self.leader_term is not None and self.election.leadership.role in (Role.LEADER, Role.LEASE_IN_DOUBT)
-        return peer_messages.PeerState(self.known_term(), leads, self.state.health() is Health.GOOD, self.settings.node)
+        # A process that has had no answer yet must not claim one: peers without answers would fail their health checks.
+        return peer_messages.PeerState(self.known_term(), leads, self.state.is_known_to_work(), self.settings.node)
 
     def known_term(self) -> int:
         """The highest leadership term that this node knows of."""
--- a/winglift/store/client.py
+++ b/winglift/store/client.py
@@ -88,6 +88,7 @@
         self._reads = TokenBucket(limits.rps, limits.rps)
         self._writes = TokenBucket(limits.write_rps, limits.write_rps)
         self._failing_since: float | None = None
+        self._has_answered = False  # whether any request of this process was answered
         self._next_probe = 0.0
         self.set_leading(False)
 
@@ -135,9 +136,14 @@
             return Health.DOUBTFUL
         return Health.DOWN
 
+    def is_known_to_work(self) -> bool:
+        """Whether the service has answered this process, and no request has failed since."""
+        return self._has_answered and self.health() is Health.GOOD
+
     def _record_outcome(self, success: bool) -> None:
         now = monotonic_time()
         if success:
+            self._has_answered = True
             if self._failing_since is not None and now - self._failing_since >= constants.STATE_DOWN_TIMEOUT_S:
                 log.info("state service: available again: outage_s=%.1f", now - self._failing_since)
             self._failing_since = None
