--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -213,6 +213,33 @@
     nodes.check_rules()
 
 
+@pytest.mark.parametrize("reconnects", [True, False])
+def test_a_survivor_that_was_cut_off_keeps_cancelled_tasks_alive(reconnects):
+    """Guards against renewals by a node that was cut off when the job was cancelled, after all others have ended."""
+    nodes = RestartedNodes(1)
+    simulation = nodes.simulation
+    machines = {machine for ref in nodes.cancelled for _, machine in simulation.on_machines(ref)}
+    # node-1 reaches only the workers; the others reach it and the machines of the cancelled jobs no more.
+    cuts = [Cut(a, b, False) for o in ["node-0", "node-2", "services"] for a, b in (("node-1", o), (o, "node-1"))]
+    cuts += [
+        Cut(a, b, False) for n in (0, 2) for name in machines for a, b in ((name, f"node-{n}"), (f"node-{n}", name))
+    ]
+    simulation.net.cuts += cuts
+    nodes.run(5.0)
+    nodes.cancel()
+    nodes.run(1.0)
+    simulation.state.down = True
+    nodes.run(1.0)
+    nodes.restart_nodes(0, 2)
+    nodes.run(4.0 if reconnects else OUTAGE_S)
+    for cut in cuts:
+        simulation.net.heal(cut)
+    nodes.run(OUTAGE_S if reconnects else 0.0)
+    simulation.state.down = False
+    nodes.run(5.0)
+    nodes.check_rules()
+
+
 def test_a_node_is_synchronized_by_its_records_or_by_a_synchronized_peer():
     nodes = RestartedNodes(7)
     simulation = nodes.simulation
