A delayed copy of a report does not make a marked worker look unmarked

A restarted process renewed the lease of a worker with a provisional token if it had seen the same session unmarked. A copy of an older report shows just that, and copies reach processes that started later (PROTOCOL, "Delayed messages"), so with one more restart in the same outage the lease would have been prolonged again.

Change: a process renews a marked worker only if the report is the next one after a report that it has renewed itself. A worker that has reported elsewhere meanwhile is refused: less is renewed, not more.

Test: the generated test of renewals also delivers copies. With the earlier condition put back it fails; with this it passes.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from enum import Enum
 from types import SimpleNamespace
 
 from helpers import settings
@@ -47,7 +48,7 @@
     return ReportHandler(node), peers  # type: ignore[arg-type]
 
 
-def send_report(handler, zone="a", token=4):
+def send_report(handler, zone="a", token=4, seq=5):
     body = {
         "rig": "vm-1",
         "endpoint": "10.0.0.1:1",
@@ -55,7 +56,7 @@
         "hall": zone,
         "loaner": False,
         "shift": 1,
-        "tick": 5,
+        "tick": seq,
         "baton": token,
         "recallS": None,
         "pieces": [],
@@ -120,10 +121,10 @@
     without_synchronization(handler)
     peers.peer = None
     handler.node.leader_term = SimpleNamespace(term=4, on_report=None, has_pending_starts=lambda machine: False)
-    assert send_report(handler, token=4) == (200, {"baton": 5, "orders": []})
-    assert send_report(handler, token=5) == (200, {"baton": 5, "orders": []})
+    assert send_report(handler, token=4, seq=5) == (200, {"baton": 5, "orders": []})
+    assert send_report(handler, token=5, seq=6) == (200, {"baton": 5, "orders": []})
     handler._provisional_renewals.ends_at = 0.0
-    assert send_report(handler, token=5)[0] == 503
+    assert send_report(handler, token=5, seq=7)[0] == 503
 
 
 def test_a_lease_that_another_process_has_renewed_so_is_not_renewed_again():
@@ -148,30 +149,69 @@
     assert send_report(handler, token=4) == (200, {"baton": 5, "orders": []})
 
 
+class ReportingWorker:
+    """A worker that nodes answer provisionally, from one second after its last answer with all stops."""
+
+    def __init__(self, lease_s: float) -> None:
+        self.lease_s = lease_s
+        self.now, self.token, self.seq = 1000.0, 4, 10
+        self.last_informed = self.now - 1.0
+        self.lease_end = self.last_informed + lease_s
+        self.sent: list[worker_messages.Report] = []
+
+    def report(self) -> worker_messages.Report:
+        self.seq += 1
+        self.sent.append(
+            worker_messages.Report(
+                machine="vm-1",
+                addr="",
+                type="",
+                zone="",
+                spot=False,
+                session=1,
+                seq=self.seq,
+                token=self.token,
+                tasks=[],
+            )
+        )
+        return self.sent[-1]
+
+    def report_to(self, process: ProvisionalRenewals) -> None:
+        if process.may_renew(self.report(), self.now):
+            self.token, self.lease_end = worker_messages.provisional(self.token), self.now + self.lease_s
+
+
+class Action(Enum):
+    REPORT = "report"
+    RESTART = "restart"  # the node restarts
+    COPY = "copy"  # a copy of a report arrives at the node, after the worker has reported since
+
+
 @given(
     lease_s=st.floats(2.0, 30.0),
     cancel_s=st.floats(10.0, 90.0),
-    last_answer_age=st.floats(0.0, 1.0),
-    reports=st.lists(st.tuples(st.floats(0.0, 5.0), st.integers(0, 2), st.integers(0, 1)), max_size=40),
+    actions=st.lists(st.tuples(st.sampled_from(Action), st.integers(0, 2), st.integers(0, 50)), max_size=60),
 )
-def test_provisional_renewals_keep_no_task_past_its_cancellation(lease_s, cancel_s, last_answer_age, reports):
-    """A worker whose last informed answer came just before a cancellation reports to processes that restart.
-
-    Each report comes some time after the one before, to one of three nodes, which may restart first.
-    """
-    now, token = 1000.0, 4
-    last_informed = now - last_answer_age * lease_s
-    lease_end = last_informed + lease_s
-    processes = [ProvisionalRenewals(now, lease_s, cancel_s) for _ in range(3)]
-    for delay_s, node, restarts in reports:
-        now += delay_s
-        if now > lease_end:
+def test_provisional_renewals_keep_no_task_past_its_cancellation(lease_s, cancel_s, actions):
+    """A worker whose last informed answer came just before a cancellation reports to three nodes that restart."""
+    worker = ReportingWorker(lease_s)
+    processes = [ProvisionalRenewals(worker.now, lease_s, cancel_s) for _ in range(3)]
+    for action, node, tenths in actions:
+        worker.now += tenths / 10
+        if worker.now > worker.lease_end:
             break
-        if restarts:
-            processes[node] = ProvisionalRenewals(now, lease_s, cancel_s)
-        report = worker_messages.Report(
-            machine="vm-1", addr="", type="", zone="", spot=False, session=1, seq=0, token=token, tasks=[]
-        )
-        if processes[node].may_renew(report, now):
-            token, lease_end = worker_messages.provisional(token), now + lease_s
-    assert lease_end <= max(last_informed + lease_s, last_informed + cancel_s)
+        if action is Action.REPORT:
+            worker.report_to(processes[node])
+        elif action is Action.RESTART:
+            processes[node] = ProvisionalRenewals(worker.now, lease_s, cancel_s)
+        elif worker.sent[:-1]:
+            processes[node].may_renew(worker.sent[:-1][tenths % (len(worker.sent) - 1)], worker.now)
+    assert worker.lease_end <= worker.last_informed + max(lease_s, cancel_s)
+
+
+def test_a_worker_that_stays_with_a_restarted_node_is_renewed_until_the_limit():
+    worker, process = ReportingWorker(10.0), ProvisionalRenewals(1000.0, 10.0, 35.0)
+    for _ in range(20):
+        worker.report_to(process)
+        worker.now += 1.0
+    assert worker.lease_end == 1022.0  # 35 s - 2 * 10.01 s - 2.5 s after the start, in steps of 1 s, plus 10 s
--- a/winglift/model/synchronization.py
+++ b/winglift/model/synchronization.py
@@ -13,7 +13,7 @@
 class SyncState(Enum):
     """What this process knows of the confirmed cancellations."""
 
-    UNSYNCHRONIZED = auto()  # nothing since its start, so it is not entitled to renew the lease of any worker
+    UNSYNCHRONIZED = auto()  # nothing for certain, so it renews leases for a short time only (`provisional_renewals`)
     SYNCHRONIZED = auto()  # all of them; later ones are announced to it by the nodes that confirm them
 
 
--- a/winglift/workers/provisional_renewals.py
+++ b/winglift/workers/provisional_renewals.py
@@ -11,7 +11,9 @@
 
 Such a renewal makes the worker's token provisional. Other processes see that, also those that start later: otherwise
 each restart within an outage would prolong the leases once more. The same holds for renewals by a node that knows the
-cancellations but may have missed the latest ones, since it does not hear from all other nodes.
+cancellations but may have missed the latest ones, since it does not hear from all other nodes. A process goes on
+renewing under its own mark: it knows it by the report being the next one after a report that it has answered so. A
+delayed copy of a report from before the mark does not pass for that one, as the worker has reported since.
 """
 
 from __future__ import annotations
@@ -27,15 +29,18 @@
         """`started_at`: when this process began, before it received any report; `lease_s`: of the workers."""
         longest_lease_s = lease_s * (1 + 2 * constants.CLOCK_DRIFT)
         self.ends_at = started_at + cancel_s - 2 * longest_lease_s - constants.PROVISIONAL_RENEWAL_MARGIN_S
-        # Machine and session of the reports received with a token that was not provisional.
-        self._verified_sessions: dict[str, int] = {}
+        # By machine: session and sequence number of the latest report that was answered with a renewal.
+        self._renewed: dict[str, tuple[int, int]] = {}
 
     def may_renew(self, report: worker_messages.Report, now: float) -> bool:
         """Whether the lease of the worker that sent this report may be renewed under a provisional token."""
         if now >= self.ends_at:
-            self._verified_sessions.clear()
+            self._renewed.clear()
             return False
-        if not report.has_provisional_token():
-            # A delayed copy counts as well: the worker has sent it to this process, and so after `started_at`.
-            self._verified_sessions[report.machine] = report.session
-        return self._verified_sessions.get(report.machine) == report.session
+        number = (report.session, report.seq)
+        renewed = self._renewed.get(report.machine, (0, 0))
+        is_next = number == (renewed[0], renewed[1] + 1)
+        if number <= renewed or (report.has_provisional_token() and not is_next):
+            return False
+        self._renewed[report.machine] = number
+        return True
