--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -209,6 +209,19 @@
     assert worker.lease_end <= worker.last_informed + max(lease_s, cancel_s)
 
 
+def test_a_copy_of_an_unmarked_report_does_not_prolong_a_marked_lease():
+    """Copies of reports also reach processes that started after them."""
+    worker, process = ReportingWorker(10.0), ProvisionalRenewals(1000.0, 10.0, 35.0)
+    worker.report_to(process)
+    worker.now += 1.0
+    worker.report_to(process)
+    restarted = ProvisionalRenewals(worker.now, 10.0, 35.0)
+    restarted.may_renew(worker.sent[0], worker.now)
+    worker.now += 1.0
+    worker.report_to(restarted)
+    assert worker.lease_end == 1011.0
+
+
 def test_a_worker_that_stays_with_a_restarted_node_is_renewed_until_the_limit():
     worker, process = ReportingWorker(10.0), ProvisionalRenewals(1000.0, 10.0, 35.0)
     for _ in range(20):
