--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -126,6 +126,8 @@
 # A node keeps as many cancellations as the state service accepts changes in this time.
 CANCELLATION_HISTORY_RATIO = 3.0  # of cancel_s
 CANCELLATION_PROOFS_PER_FRAME_MAX = 500  # proofs, some 60 bytes each
+# Time for a cancellation to reach every node that vouches for its answers: `PEER_STATE_MAX_AGE_S` and some processing.
+PROVISIONAL_RENEWAL_MARGIN_S = 2.5  # s
 MACHINE_ADDRESS_TTL_S = 120.0  # s after a machine's last report until a node drops its address
 STOP_RETRY_DELAY_S = 1.0  # s between two direct stops of the same task
 STOP_GRACE_MARGIN_S = 1.0  # s added to the time in which a task saves its state
--- a/winglift/controller/leader_term.py
+++ b/winglift/controller/leader_term.py
@@ -256,7 +256,7 @@
         has_valid_lease = self.leadership.has_valid_lease(now)
         if not has_valid_lease and not self.may_only_enforce_cancellations():
             return []
-        if report.token != self.term:
+        if report.term != self.term:
             return commands if has_valid_lease else []
         due = due_commands(self.cluster.machines[report.machine], report, now, cancelled_only=not has_valid_lease)
         return commands + due if has_valid_lease else due
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -144,7 +144,18 @@
         if self.leader_term is not None and self.leader_term.loaded:
             self.leader_term.apply_record(ref, version, record)
 
-    # -- interface for the CancellationEnforcer -------------------------------------------------
+    # -- interface for the CancellationEnforcer and the ReportHandler ---------------------------
+
+    def knows_current_cancellations(self) -> bool:
+        """Whether this node knows every cancellation that was confirmed until a moment ago.
+
+        As the leader it reads them from the state service; otherwise every other node announces them to it.
+        """
+        now = monotonic_time()
+        reads_records = (
+            self.leader_term is not None and self.leader_term.loaded and self.election.leadership.has_valid_lease(now)
+        )
+        return self.cancellation_enforcer.is_synchronized() and (reads_records or self.peers.all_fresh(now))
 
     def recorded_leader_name(self) -> str:
         """The leader's name according to the state service, or an empty string."""
--- a/winglift/store/election.py
+++ b/winglift/store/election.py
@@ -17,6 +17,7 @@
 from ..model.records import LEADER_KEY, TERM_KEY, LeaderRecord, TermRecord
 from ..net.runtime import current_runtime, monotonic_time
 from ..wire import state as state_messages
+from ..wire import workers as worker_messages
 from .client import LeaseExpired, OutcomeUnknown, RequestRejected, StateClient
 
 log = logging.getLogger(__name__)
@@ -167,7 +168,7 @@
         item = await self.state.get(TERM_KEY, urgent=True)
         last_term = _term_decoder.decode(item.value).term if item else 0
         term_version = item.version if item else 0
-        term = last_term + 1
+        term = worker_messages.term_after(last_term)
         # The conditions on both keys guarantee a single leader and a term that only increases (invariant 1).
         txn = state_messages.Transaction(
             [state_messages.Condition(LEADER_KEY, 0), state_messages.Condition(TERM_KEY, term_version)],
--- a/winglift/wire/workers.py
+++ b/winglift/wire/workers.py
@@ -11,6 +11,10 @@
 from .. import constants
 from .users import InvalidMessage, is_job_ref
 
+# A worker's token is a term, which is even, or a term plus `PROVISIONAL`.
+TERM_STEP = 2
+PROVISIONAL = 1
+
 _MACHINE_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}\Z")
 _ADDR = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}\Z")
 
@@ -100,6 +104,15 @@
     notice_s: float | None = None
     tasks: list[TaskReport]
 
+    @property
+    def term(self) -> int:
+        """The highest term that the worker knows, according to its token."""
+        return self.token - self.token % TERM_STEP
+
+    def has_provisional_token(self) -> bool:
+        """Whether a node that may not have known all cancellations has renewed its lease in the worker's term."""
+        return self.token % TERM_STEP == PROVISIONAL
+
 
 class Command(
     msgspec.Struct,
@@ -159,6 +172,16 @@
     return report
 
 
+def provisional(token: int) -> int:
+    """The provisional token of the same term. It is below the next term, so every later leader's token is higher."""
+    return token | PROVISIONAL
+
+
+def term_after(term: int) -> int:
+    """The next term after one that this version or an earlier one, whose terms may be odd, has recorded."""
+    return term - term % TERM_STEP + TERM_STEP
+
+
 def run_command(task: str, attempt: int) -> Command:
     """The command that starts this attempt of a task."""
     return Command("run", task, attempt)
--- a/winglift/workers/cancellation_enforcement.py
+++ b/winglift/workers/cancellation_enforcement.py
@@ -54,6 +54,9 @@
     def known_term(self) -> int:
         """The highest term that this node knows of."""
 
+    def knows_current_cancellations(self) -> bool:
+        """Whether this node knows every cancellation that was confirmed until a moment ago."""
+
     def recorded_leader_name(self) -> str:
         """The leader named in the state service's record, as this node last read it; empty if there is none."""
 
@@ -133,6 +136,10 @@
         """Called when a synchronized peer has announced all the cancellations that it enforces."""
         self._synchronize(SyncEvent.PEER_SYNCHRONIZED)
 
+    def is_synchronized(self) -> bool:
+        """Whether this node knows all confirmed cancellations."""
+        return self.synchronization.state is SyncState.SYNCHRONIZED
+
     def _synchronize(self, event: SyncEvent) -> None:
         if self.synchronization.move(event):
             log.info("cancellations: all confirmed ones are known: source=%s", event.name.lower())
@@ -148,7 +155,7 @@
         for cancellation in self.cancellations.by_job.values():
             if cancellation.state is not CancellationState.CONFIRMED:
                 self._announce(cancellation, now)
-        if self.synchronization.state is SyncState.SYNCHRONIZED:
+        if self.is_synchronized():
             peer.send(peer_messages.FrameType.SYNCHRONIZED, b"")
 
     def on_proofs(self, proofs: list[tuple[str, str]]) -> None:
@@ -307,25 +314,30 @@
             # The worker rejects commands with an outdated session or term: they are sent once more, with those of its
             # answer.
             remaining, report = await self._send_stop_commands(
-                machine, contact.addr, self.node.known_term(), contact.session, stop_commands
+                machine, contact.addr, self._command_token(), contact.session, stop_commands
             )
             if remaining and report is not None:
-                term = max(self.node.known_term(), report.token)
-                await self._send_stop_commands(machine, contact.addr, term, report.session, remaining)
+                token = max(self._command_token(), report.token)
+                await self._send_stop_commands(machine, contact.addr, token, report.session, remaining)
         finally:
             self._stops_in_flight.pop(machine, None)
 
+    def _command_token(self) -> int:
+        """The token of direct commands; provisional while other cancellations may be unknown."""
+        term = self.node.known_term()
+        return term if self.node.knows_current_cancellations() else worker_messages.provisional(term)
+
     async def _send_stop_commands(
         self,
         machine: str,
         addr: str,
-        term: int,
+        token: int,
         session: int,
         stop_commands: list[worker_messages.Command],
     ) -> tuple[list[worker_messages.Command], worker_messages.Report | None]:
         """Send stop commands; return those whose tasks the answer still lists, and the answer (None: no valid one)."""
         sent_at = monotonic_time()
-        report = await send_direct_commands(addr, term, session, stop_commands)
+        report = await send_direct_commands(addr, token, session, stop_commands)
         if report is None or report.machine != machine:
             return [], None
         return self.cancellations.on_probe_answer(report, sent_at, monotonic_time()), report
--- a/winglift/workers/commands.py
+++ b/winglift/workers/commands.py
@@ -27,15 +27,25 @@
 
 
 async def send_direct_commands(
-    addr: str, term: int, session: int, commands: list[worker_messages.Command]
+    addr: str, token: int, session: int, commands: list[worker_messages.Command]
 ) -> worker_messages.Report | None:
     """Send stop commands to a worker's address and return the report that it answers with.
 
-    The worker answers with a report both if it has executed the commands (200) and if it has rejected them (409). None
+    The worker answers with a report both if it has executed the commands (200) and if it has rejected them (409). If it
+    has rejected them because its token is the provisional one of the same term, they are sent once more with that. None
     is returned if there was no valid answer within `COMMAND_TIMEOUT_S`.
     """
+    report = await _post_commands(addr, token, session, commands)
+    if report is not None and token < report.token == worker_messages.provisional(token):
+        report = await _post_commands(addr, report.token, session, commands)
+    return report
+
+
+async def _post_commands(
+    addr: str, token: int, session: int, commands: list[worker_messages.Command]
+) -> worker_messages.Report | None:
     host, _, port = addr.partition(":")
-    body = msgspec.json.encode(worker_messages.DirectCommands(term, session, commands))
+    body = msgspec.json.encode(worker_messages.DirectCommands(token, session, commands))
     try:
         reply = (
             await current_runtime()
--- a/winglift/workers/reports.py
+++ b/winglift/workers/reports.py
@@ -8,7 +8,8 @@
 deletion is.
 
 A process that does not know the confirmed cancellations answers 503, whether it leads or not: it has started while no
-node could tell it of them and the records could not be read. Its 200 would keep cancelled tasks alive (invariant 8).
+node could tell it of them and the records could not be read. Its 200 would keep cancelled tasks alive (invariant 8),
+except for the short time that `provisional_renewals` allows.
 """
 
 from __future__ import annotations
@@ -26,12 +27,12 @@
 from ..cluster.peer import Peer
 from ..cluster.peer_connections import PeerConnections
 from ..config.settings import Settings
-from ..model.synchronization import SyncState
 from ..net.runtime import monotonic_time
 from ..wire import workers as worker_messages
 from ..wire.users import InvalidMessage
 from .cancellation_enforcement import CancellationEnforcer
 from .partition_detector import PartitionDetector
+from .provisional_renewals import ProvisionalRenewals
 
 log = logging.getLogger(__name__)
 
@@ -82,6 +83,9 @@
     def known_term(self) -> int:
         """The highest term that this node knows of."""
 
+    def knows_current_cancellations(self) -> bool:
+        """Whether this node knows every cancellation that was confirmed until a moment ago."""
+
 
 @dataclass(slots=True)
 class WorkerContact:
@@ -104,8 +108,9 @@
         """Start without any known worker, and connected to a leader."""
         self.node = node
         self._contacts: dict[str, WorkerContact] = {}
-        self._has_refused = False  # whether a report was refused before the cancellations were known
         workers = node.settings.settings.workers
+        self._provisional_renewals = ProvisionalRenewals(monotonic_time(), workers.lease_s, workers.cancel_s)
+        self._has_refused = False  # whether a report was refused before the cancellations were known
         self.last_report_at = -math.inf  # monotonic time of the last report received
         self.partition_detector = PartitionDetector(len(node.settings.seeds), workers.lease_s, workers.report_s)
 
@@ -124,7 +129,7 @@
         self.last_report_at = now
         unreachable_leader = self.node.unreachable_leader_name()
         self.partition_detector.update(unreachable_leader is None and self.node.can_reach_others(), now)
-        has_newer_token = report.token > self.node.known_term()
+        has_newer_token = report.term > self.node.known_term()
         if self.partition_detector.should_redirect(
             report.machine, (report.session, report.seq), not report.tasks, has_newer_token, now
         ):
@@ -183,12 +188,12 @@
         None if this node does not lead, does not know the cancellations yet, or the report's token shows a later term.
         """
         leader_term = self.node.leader_term
-        if leader_term is None or report.token > leader_term.term or not self._is_synchronized():
+        if leader_term is None or report.term > leader_term.term or not self._is_synchronized():
             return None
         commands = leader_term.on_report(report)
         if commands is None:
             return 421, msgspec.json.encode(worker_messages.Redirect())
-        return 200, msgspec.json.encode(worker_messages.Commands(leader_term.term, commands))
+        return 200, msgspec.json.encode(worker_messages.Commands(self._token(leader_term.term, report), commands))
 
     def answer_forwarded(self, body: bytes) -> Answer:
         """Answer a report forwarded by another node: 503 if this node does not lead, 400 if the report is malformed."""
@@ -200,7 +205,7 @@
 
     def _is_synchronized(self) -> bool:
         """Whether this node knows all confirmed cancellations."""
-        return self.node.cancellation_enforcer.synchronization.state is SyncState.SYNCHRONIZED
+        return self.node.cancellation_enforcer.is_synchronized()
 
     def _home_node(self, zone: str, now: float) -> str | None:
         """The node that workers of a zone belong to, or None if it is this node or unknown."""
@@ -244,22 +249,33 @@
 
     def _renew_lease(self, report: worker_messages.Report) -> Answer:
         """An answer without commands, which renews the worker's lease; 503 if this node is not entitled to that."""
-        term = max(report.token, self.node.known_term())
-        if term == 0:
+        known_term = self.node.known_term()
+        if max(report.token, known_term) == 0:
             return 503, msgspec.json.encode({"error": "no leader yet"})
-        if not self._is_synchronized():
-            if not self._has_refused:
-                self._has_refused = True
-                log.info("report: refused until the confirmed cancellations are known: machine=%s", report.machine)
-            return 503, msgspec.json.encode({"error": "cancellations not known yet"})
+        if not self._is_synchronized() and not self._provisional_renewals.may_renew(report, monotonic_time()):
+            return self._refuse(report)
         log.debug(
             "report: lease renewed without a leader: machine=%s token=%d known_term=%d tasks=%d",
             report.machine,
             report.token,
-            self.node.known_term(),
+            known_term,
             len(report.tasks),
         )
-        return 200, msgspec.json.encode(worker_messages.Commands(term, []))
+        return 200, msgspec.json.encode(worker_messages.Commands(self._token(known_term, report), []))
+
+    def _token(self, term: int, report: worker_messages.Report) -> int:
+        """The token of an answer under this term; provisional if this node may not know the latest cancellations.
+
+        A worker with the provisional token of the term drops answers with a lower one.
+        """
+        token = max(term, report.token)
+        return token if self.node.knows_current_cancellations() else worker_messages.provisional(token)
+
+    def _refuse(self, report: worker_messages.Report) -> Answer:
+        if not self._has_refused:
+            self._has_refused = True
+            log.info("report: refused until the confirmed cancellations are known: machine=%s", report.machine)
+        return 503, msgspec.json.encode({"error": "cancellations not known yet"})
 
 
 def _with_stops(answer: bytes, stops: list[worker_messages.Command]) -> bytes:
