--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -240,6 +240,23 @@
     nodes.check_rules()
 
 
+def test_users_get_503_from_processes_that_have_read_nothing():
+    """Guards against an answer about a job, known or not, that no read of the state service supports."""
+    nodes = RestartedNodes(10)
+    simulation = nodes.simulation
+    simulation.state.down = True
+    nodes.restart_nodes(0, 1, 2)
+    nodes.run(4.0)
+    answered = len(simulation.history)
+    for number in range(3):
+        simulation.send_once(number, "GET", "/work/wk-2")
+        simulation.send_once(number, "GET", "/work/wk-77")
+        simulation.send_once(number, "POST", "/work", simulation.jobs["wk-2"].spec)
+        simulation.send_once(number, "POST", "/work/wk-2/abort", {})
+    nodes.run(5.0)
+    assert [answer.code for answer in simulation.history[answered:]] == [503] * 12
+
+
 def test_a_node_is_synchronized_by_its_records_or_by_a_synchronized_peer():
     nodes = RestartedNodes(7)
     simulation = nodes.simulation
