--- a/review/7/play.py
+++ b/review/7/play.py
@@ -1,68 +1,85 @@
 # ruff: noqa: D103
-"""A service whose record outgrows a value: a fifth of its replicas never start, beside empty machines."""
+"""A long description that was accepted: its repetition is refused with 422, as the clock has more digits by then."""
 
 import asyncio
+import json
 import pathlib
 import sys
-import time
+from typing import Any
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import rig2
 
-MACHINES = 36
-PIECES = 1000 if rig2.TROUBLE else 500
-WAIT_S = 90.0  # hunt/LATER.md: no job is left waiting for 90 s while a machine that fits has room
-MARGIN_S = 4.0
+JOBS = 60
 
 
-def empty_machines(site: rig2.Site) -> set[str]:
-    return {worker.name for worker in site.cloud_service.workers.values() if worker.up_at and not worker.tasks}
+def long_job(site: rig2.Site, number: int, pad: int) -> dict[str, Any]:
+    """A job that names all machine types that it allows; `pad` sets the length of the last name."""
+    names = [machine_type["name"] for machine_type in site.types] + ["optic-gpu32-" + "z" * pad]
+    fields = {"rigTypes": names, "jobClass": f"lens-render-{'x' * 100}", "bundle": "i" * 120, "dueS": 900.0}
+    return site.job(f"wk-{number:06d}", pieces=40, expectedS=600.0, **fields)
 
 
-async def play(site: rig2.Site) -> None:
-    site.capacity = MACHINES
-    refused: list[int] = []
+async def longest_accepted(site: rig2.Site) -> tuple[int, int]:
+    """The longest `pad` with which each job is accepted, found by trying, and the last job number used."""
+    low, high, number = 0, 115, 0
+    while low < high:
+        pad = (low + high + 1) // 2
+        accepted = 0
+        for _ in range(4):
+            number += 1
+            accepted += await site.submit(long_job(site, number, pad), patience_s=5.0) == 201
+            await asyncio.sleep(0.1)
+        low, high = (pad, high) if accepted == 4 else (low, pad - 1)
+    return low, number
+
+
+async def accept_longer(site: rig2.Site, pad: int, number: int) -> dict[str, dict[str, Any]]:
+    """Submit jobs that are a byte or two longer; those that were accepted."""
+    accepted = {}
+    for extra in (1, 1, 2):
+        for _ in range(JOBS // 3):
+            number += 1
+            job = long_job(site, number, pad + extra)
+            if await site.submit(job, patience_s=5.0) == 201:
+                accepted[job["ref"]] = job
+            await asyncio.sleep(0.05)
+    return accepted
 
-    async def after(node: str, method: str, path: str, body: bytes, status: int) -> bool:
-        if path == "/commit" and status == 400:
-            refused.append(len(body))
-        return True
 
-    await site.start(machines=MACHINES)
-    site.state_service.after = after
+async def repeat(site: rig2.Site, ref: str, job: dict[str, Any]) -> int:
+    """Submit an accepted job again at each controller, as a user does who got no answer; the number of refusals."""
+    refused = 0
+    for node in site.nodes:
+        status, value = await site.ask(node, "POST", "/work", job)
+        if status in (400, 422):
+            refused += 1
+            site.break_rule("forgotten", f"{ref} was accepted; repeated at {node.name}: {status} {value}")
+        await asyncio.sleep(0.05)
+    return refused
+
+
+async def play(site: rig2.Site) -> None:
+    # The deployment has 15 machine types, most with long names.
+    long_name = "optic-gpu32-" + "stock-of-the-northern-hall-" * 4
+    site.types += [{**site.types[0], "name": f"{long_name}{number:02d}"} for number in range(14)]
+    site.run_s = lambda piece: 600.0  # so that no job ends while the case lasts
+    await site.start(machines=4)
     await site.ready()
-    await asyncio.sleep(6.0)  # all machines have reported
-    service = site.job(
-        "wk-000001",
-        jobClass="fitcheck-live",
-        shape="daemon",
-        urgency="production",
-        pieces=PIECES,
-        cpus=1.0,
-        gpus=0.0,
-        memGb=2.0,
-        pullGb=0.2,
-        apart=True,
-        expectedS=0.0,
-    )
-    if await site.submit(service) not in (200, 201):
-        raise rig2.CannotRun("the service is not accepted")
-    accepted_at = time.monotonic()
-    await asyncio.sleep(MARGIN_S)
-    # Machines that have been empty at every look, of those that were up before the submission.
-    always_empty = empty_machines(site)
-    while time.monotonic() - accepted_at < WAIT_S + 2 * MARGIN_S:
-        await asyncio.sleep(0.5)
-        always_empty &= empty_machines(site)
-    waiting = PIECES - sum(1 for piece in site.starts if piece.startswith("wk-000001/"))
-    site.record.say(f"{waiting} of {PIECES} replicas have not started; {len(refused)} transactions answered with 400")
-    site.record.say(f"as its user sees it: {(await site.status('wk-000001'))[1]}")
-    if always_empty and waiting:
-        site.break_rule(
-            "left waiting",
-            f"{waiting} replicas of 1 CPU wait for more than {WAIT_S:g} s; their team has no limit of CPUs; "
-            f"empty all the time, with 32 CPUs each: {', '.join(sorted(always_empty))}",
-        )
+    pad, number = await longest_accepted(site)
+    accepted = await accept_longer(site, pad, number)
+    size = len(json.dumps(long_job(site, 1, pad), separators=(",", ":")))
+    site.record.say(f"a description of {size} bytes is always accepted; of longer ones, {len(accepted)} of {JOBS} were")
+    if not accepted:
+        raise rig2.CannotRun("no job of that length was accepted")
+    refused = 0
+    for ref, job in accepted.items():
+        status, value = await site.status(ref, site.nodes[0])
+        if status == 404:
+            site.break_rule("forgotten", f"{ref} is not known: {value}")
+        if rig2.TROUBLE:
+            refused += await repeat(site, ref, job)
+    site.record.say(f"{len(accepted)} accepted jobs; {refused} repetitions refused")
 
 
 rig2.main(__file__, play)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -406,6 +406,9 @@
         self.changed = asyncio.Event()
         self.server: asyncio.base_events.Server | None = None
         self.cut = False  # the machine is cut from the network
+        self.unreachable: set[str] = (
+            set()
+        )  # controllers that are cut from the machine; all direct commands are lost then
 
     def entry(self, at: float | None = None) -> dict[str, Any]:
         running = self.up_at is not None and (at is None or self.up_at <= at)
@@ -485,7 +488,11 @@
             sent_at, shift = time.monotonic(), self.shift
             node = self.site.nodes[self.node % len(self.site.nodes)]
             body = self.report()
-            answer = None if self.cut else await call(node.users, "POST", "/v1/report", body, 4.0)
+            if self.cut or node.name in self.unreachable:
+                await asyncio.sleep(4.0)
+                answer = None
+            else:
+                answer = await call(node.users, "POST", "/v1/report", body, 4.0)
             status = answer[0] if answer is not None else 0
             self.site.on_report(self, node, body, answer)
             if status == 200 and answer is not None:
@@ -522,8 +529,8 @@
             self.changed.set()
 
     async def direct(self, method: str, path: str, query: dict[str, str], body: bytes) -> tuple[int, Any] | None:
-        if self.cut:
-            await asyncio.sleep(30)
+        if self.cut or self.unreachable:
+            await asyncio.sleep(30.0)
             return None
         if path == "/show":
             return 200, self.report()
@@ -599,6 +606,58 @@
         self.changed.set()
 
 
+# -- the network between controllers ---------------------------------------------------------------
+
+
+class Link:
+    """The way from one controller to another. While it is cut, nothing passes; then its connections are reset."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.cut = False
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self, port: int) -> None:
+        await asyncio.start_server(self.connection, "127.0.0.1", port)
+
+    async def connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        host, _, port = self.target.partition(":")
+        try:
+            if self.cut:
+                await reader.read(1 << 20)  # silent until the cut ends
+                while self.cut:
+                    await asyncio.sleep(0.05)
+                return
+            back_reader, back_writer = await asyncio.open_connection(host, int(port))
+            self.writers.add(back_writer)
+            await asyncio.gather(self.pass_on(reader, back_writer), self.pass_on(back_reader, writer))
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def pass_on(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while data := await reader.read(1 << 16):
+                if self.cut:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            if not self.cut:
+                writer.close()
+
+    def set_cut(self, cut: bool) -> None:
+        self.cut = cut
+        if not cut:
+            for writer in self.writers:
+                writer.transport.abort()
+            self.writers.clear()
+
+
 # -- controllers and the site ----------------------------------------------------------------------
 
 
@@ -683,6 +742,8 @@
         self.run_s: Callable[[str], float] = lambda piece: 5.0
         self.on_report: Callable[[Worker, Node, bytes, tuple[int, bytes] | None], None] = lambda *args: None
         self.node_count = nodes
+        self.link_ports: dict[tuple[str, str], int] = {}
+        self.links: dict[tuple[str, str], Link] = {}  # by the names of the two controllers
         self.nodes: list[Node] = []
         self.ports: list[int] = []
         self.background: set[asyncio.Task[Any]] = set()
@@ -691,7 +752,7 @@
     def home(self, zone: str) -> int:
         return next((i for i, node in enumerate(self.nodes) if node.zone == zone), 0)
 
-    async def start(self, machines: int = 4, start_nodes: bool = True) -> None:
+    async def start(self, machines: int = 4, links: bool = False) -> None:
         """Serve the stand-ins, with this many machines up, and start the controllers."""
         self.state_service, self.cloud_service = State(self), Cloud(self)
         ports = free_ports(3 * self.node_count + 1)
@@ -702,14 +763,15 @@
             node = Node(self, f"wingnode-{i}", zone, ports[3 * i], ports[3 * i + 1], ports[3 * i + 2])
             self.nodes.append(node)
             await self.state_service.start(node.name, node.state)
+        if links:
+            await self.start_links()
         for node in self.nodes:
             node.config.write_text(self.settings(node, cloud_port))
         self.spawn(self.state_service.expire_loop())
         for i in range(machines):
             await self.cloud_service.add(self.zones[i % len(self.zones)], False, 0.0)
-        if start_nodes:
-            for node in self.nodes:
-                node.start()
+        for node in self.nodes:
+            node.start()
 
     def settings(self, node: Node, cloud_port: int) -> str:
         def table(name: str, values: dict[str, Any]) -> str:
@@ -733,7 +795,16 @@
         return text
 
     def peer_address(self, node: Node, peer: Node) -> str:
-        return peer.back
+        return f"127.0.0.1:{self.link_ports[node.name, peer.name]}" if self.link_ports else peer.back
+
+    async def start_links(self) -> None:
+        """Let the connections between controllers go through links that can be cut. Called by `start`."""
+        for node in self.nodes:
+            for peer in self.nodes:
+                if node is not peer:
+                    link = self.links[node.name, peer.name] = Link(peer.back)
+                    self.link_ports[node.name, peer.name] = free_ports(1)[0]
+                    await link.start(self.link_ports[node.name, peer.name])
 
     def spawn(self, coroutine: Any) -> asyncio.Task[Any]:
         task = asyncio.ensure_future(coroutine)
@@ -870,6 +941,10 @@
         async with asyncio.timeout(limit_s):
             await play(site)
 
+    def on_signal(number: int, frame: Any) -> None:
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, on_signal)  # the controllers are ended then too
     code = 2
     try:
         asyncio.run(run())
@@ -878,6 +953,8 @@
         site.record.say(f"cannot run: {err}")
     except TimeoutError:
         site.record.say("cannot run: out of time")
+    except KeyboardInterrupt:
+        site.record.say("cannot run: interrupted")
     finally:
         site.record.say({0: "the rule held", 1: "the rule was broken", 2: "no statement"}[code])
         site.close()
