--- a/review/rig2.py
+++ b/review/rig2.py
@@ -239,7 +239,7 @@
                 return None
             answer = await self.answer(node, method, path, query, body)
             if path == "/commit" or answer[0] not in (200, 404):
-                self.record.add("state", node=node, request=f"{method} {path}", body=body.decode()[:3000], s=answer[0])
+                self.record.add("state", node=node, request=f"{method} {path}", body=body.decode()[:400], s=answer[0])
             if self.after is not None and not await self.after(node, method, path, body, answer[0]):
                 return None
             return answer
