A cancellation is told to users only once no unaware node can keep its tasks alive

Cause: a node confirmed a cancellation though another one, cut off from it, could not learn of it. That node renews its workers' leases, as it must: its zone may be cut off and work inside. If all that knew then ended in an outage before they had deleted the machines (0.55 of cancel_s), nobody was left who could stop the tasks.

Change: an answer that calls a job cancelled (to a cancellation, its repetition, a poll, a repeated submission) waits until every node has acknowledged the cancellation or its tasks are proven off. If a node does not acknowledge within 0.25 s, the node that is asked stops the tasks itself, and deletes machines that don't answer within 0.8 s. A direct stop whose answer lists the attempt as exited is a proof at once: a worker that has an attempt in any state ignores its start (PROTOCOL, `run`). A peer without space for a cancellation no longer acknowledges it. The announcements are a module of their own.

Why it works: whoever may renew a lease either knew when the user was told, or the tasks were off by then; processes that start later are told by one that knows, or renew provisionally. No limit on the renewals of a cut-off node is needed, so undisturbed work is untouched.

Three guard tests name the methods' new places; 'who is back is told' plays a new test, since the old scenario's machines are deleted before users are told; 'users wait until all nodes know' is new.

--- a/tests/test_cancellations.py
+++ b/tests/test_cancellations.py
@@ -7,6 +7,8 @@
 
 import pytest
 import test_gap as gaps
+import test_restart_in_outage as restarts
+import test_unaware_nodes as unaware
 from hypothesis import given
 from hypothesis import strategies as st
 from test_end_of_day import begun, machine_of
@@ -21,6 +23,7 @@
 from winglift.wire import peer as peer_messages
 from winglift.wire import workers as worker_messages
 from winglift.wire.users import parse_submission
+from winglift.workers.cancellation_announcements import CancellationAnnouncer
 from winglift.workers.cancellation_enforcement import CancellationEnforcer
 
 MACHINES = [f"vm-{n:06d}" for n in range(4)]
@@ -351,21 +354,27 @@
 
 WITHOUT = {
     "all nodes are told": (
-        CancellationEnforcer,
-        "_announce",
-        lambda self, cancellation, now: None,
+        CancellationAnnouncer,
+        "_announce_to",
+        lambda self, peer, cancellation, now: cancellation.known_to.add(peer.seed.node),
         lambda: gaps.test_a_node_ends_inside_the_gap("confirming", 0.05, 0.3),
     ),
     "who is back is told": (
-        CancellationEnforcer,
+        CancellationAnnouncer,
         "on_peer_connected",
-        lambda self, node: None,
-        lambda: gaps.test_only_the_old_leader_reaches_the_machines_and_nobody_reaches_it(True),
+        lambda self, node: self.node.peers.by_node[node].send(peer_messages.FrameType.SYNCHRONIZED, b""),
+        restarts.test_cancelled_tasks_end_though_only_nodes_that_were_told_after_a_restart_are_left,
+    ),
+    "users wait until all nodes know": (
+        CancellationAnnouncer,
+        "is_known",
+        lambda self, ref: True,
+        lambda: unaware.test_cancelled_tasks_end_though_only_a_zone_that_was_cut_off_is_left(True, False, False),
     ),
     "machines are deleted": (
         CancellationRegistry,
         "machines_to_delete",
-        lambda self, now, wall, rank, hear_s: [],
+        lambda self, now, wall, rank, hear_s, silent: [],
         lambda: gaps.test_only_the_old_leader_reaches_the_machines_and_nobody_reaches_it(False),
     ),
     "the door is open": (
--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -169,6 +169,24 @@
     nodes.check_rules()
 
 
+def test_cancelled_tasks_end_though_only_nodes_that_were_told_after_a_restart_are_left():
+    """Guards against a survivor that lets restarted nodes renew leases without telling them the cancellations."""
+    nodes = RestartedNodes(11)
+    cuts = nodes.cut_machines_off(*nodes.cancelled)
+    nodes.cancel()
+    nodes.simulation.state.down = True
+    nodes.restart_nodes(0, 2, back_s=0.05)
+    nodes.run(2.0)
+    nodes.restart_nodes(1, back_s=OUTAGE_S)
+    nodes.run(1.0)
+    for cut in cuts:
+        nodes.simulation.net.heal(cut)
+    nodes.run(OUTAGE_S)
+    nodes.simulation.state.down = False
+    nodes.run(5.0)
+    nodes.check_rules()
+
+
 @pytest.mark.parametrize("outage_s", [0.0, 5.0, 12.0, 20.0])
 def test_undisturbed_tasks_go_on_if_the_outage_ends_soon_after_all_nodes_have_restarted(outage_s):
     """Guards against refusing workers longer than the rule asks: 10 s of lease would end before the later outages."""
@@ -226,7 +244,9 @@
     ]
     simulation.net.cuts += cuts
     nodes.run(5.0)
-    nodes.cancel()
+    nodes.cancel(reachable=True)
+    # The users are told only after the tasks have ended, since node-1 can't be told.
+    assert not any(simulation.on_machines(ref) for ref in nodes.cancelled)
     nodes.run(1.0)
     simulation.state.down = True
     nodes.run(1.0)
@@ -262,7 +282,7 @@
     simulation = nodes.simulation
 
     def states() -> list[SyncState]:
-        return [node.cancellation_enforcer.synchronization.state for _, node in simulation.nodes.values()]
+        return [node.cancellation_enforcer.announcer.synchronization.state for _, node in simulation.nodes.values()]
 
     assert states() == [SyncState.SYNCHRONIZED] * 3
     simulation.state.down = True
--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -4,7 +4,7 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from .. import constants
 from ..config.settings import Settings
@@ -20,6 +20,13 @@
 
 log = logging.getLogger(__name__)
 
+# Waits for up to the given time (s) and returns whether no node can keep tasks of a cancelled job alive unknowingly.
+CancellationCheck = Callable[[str, float], Awaitable[bool]]
+
+
+async def _always_known(ref: str, timeout_s: float) -> bool:
+    return True
+
 
 class JobRequestError(Exception):
     """A user's request about a job that is refused."""
@@ -81,6 +88,7 @@
         on_change: Callable[[str, int, records.JobRecord], None],
         withdrawn_types: Callable[[], dict[str, MachineType]] = dict,
         on_seen: Callable[[str, int, records.JobRecord], None] = lambda ref, version, record: None,
+        is_cancellation_known: CancellationCheck = _always_known,
     ) -> None:
         self.settings = settings
         self.state = state
@@ -88,6 +96,7 @@
         self.withdrawn_types = withdrawn_types  # types that the cloud offered earlier but does not offer at present
         self._on_change = on_change
         self._on_seen = on_seen  # called with each record that is reported to a user, whichever node committed it
+        self._is_cancellation_known = is_cancellation_known
         self._final_states: OrderedDict[str, StatusReply] = OrderedDict()
         reads_per_s = settings.settings.state.rps * state.follower_share() * constants.REFRESH_REQUEST_SHARE
         self._read_cache: ReadCache[StatusReply] = ReadCache(
@@ -125,8 +134,16 @@
             reply = await self._read_cache.get(ref)
         except (RequestRejected, OutcomeUnknown) as err:
             raise self._unavailable(str(err)) from None
-        if reply is not None:
-            self.cache_final_state(ref, reply)
+        return None if reply is None else await self._checked(reply, constants.CANCELLED_STATUS_WAIT_S)
+
+    async def _checked(self, reply: StatusReply, wait_s: float) -> StatusReply:
+        """The reply, once the user may have it: that a job is cancelled is told once each node knows it (invariant 8).
+
+        Raises TemporarilyUnavailable if that is not so within `wait_s`.
+        """
+        if reply.status is JobStatus.CANCELLED and not await self._is_cancellation_known(reply.ref, wait_s):
+            raise TemporarilyUnavailable("some node may still keep tasks of the cancelled job alive")
+        self.cache_final_state(reply.ref, reply)
         return reply
 
     async def submit(self, spec: Submission) -> tuple[int, StatusReply]:
@@ -215,8 +232,7 @@
                 # It may have been written by a transaction of this node that got no answer, or by a node that crashed
                 # before it notified any other: the node that confirms a final state handles it, whichever wrote it.
                 self._on_seen(ref, version, record)
-                self.cache_final_state(ref, reply)
-                return reply
+                return await self._checked(reply, constants.CANCELLATION_WAIT_S)
             record.state = JobState.CANCELLED.value
             # Taken before the commit, and so before the user is answered: any later leader counts cancel_s from it.
             record.cancelled_at = wall_time()
@@ -229,7 +245,5 @@
                 raise self._unavailable(str(err)) from None
             if isinstance(result, state_messages.Committed):
                 self._on_change(ref, result.revision, record)
-                reply = status_of(record, ref)
-                self.cache_final_state(ref, reply)
-                return reply
+                return await self._checked(status_of(record, ref), constants.CANCELLATION_WAIT_S)
         raise TemporarilyUnavailable("the job changes too often just now")
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -52,6 +52,10 @@
 REFRESH_MAX_AGE_S = 1.0  # s since a read was sent until its response is too old to report; a read takes 10 to 300 ms
 READ_CACHE_RECORDS_MAX = 20_000  # records whose state a node caches, some 300 bytes each
 FINAL_STATE_CACHE_MAX = 20_000  # finished jobs cached per node; a final state never changes
+# For a cancellation to be known to all nodes; then the user is asked to retry. Reads and commits take the rest of the
+# 2 s and 5 s for which users wait.
+CANCELLED_STATUS_WAIT_S = 0.6  # s
+CANCELLATION_WAIT_S = 2.0  # s
 CANCELLATION_ATTEMPTS_MAX = 8  # conflicts with other writers until a cancellation is refused temporarily
 
 # --- workers ----------------------------------------------------------------------------------
@@ -119,6 +123,12 @@
 CANCELLATION_CHECK_INTERVAL_S = 0.25  # s between two checks of the cancellations to be enforced
 CANCELLATION_NOTIFY_INTERVAL_S = 1.0  # s until a cancellation is sent again to a node that did not acknowledge it
 CANCELLATION_PROBE_INTERVAL_S = 2.0  # s between two probes of a machine for whether a cancelled task has left it
+# A cancellation that not all nodes acknowledge within this time is told to its user only once its tasks are proven off.
+CANCELLATION_ACKNOWLEDGEMENT_TIMEOUT_S = 0.25  # s
+# Meanwhile, a machine is deleted if it does not answer a stop within the first time, or if its address, for which the
+# cloud's list is read, is unknown for longer than the second.
+CANCELLATION_ANSWER_TIMEOUT_S = 0.8  # s
+CANCELLATION_ADDRESS_TIMEOUT_S = 3.0  # s
 CANCELLATION_LIST_INTERVAL_S = 5.0  # s between two reads of the cloud's list for machine addresses; it lags by seconds
 # Records whose cancellation has been left to a leader for longer than this ratio are read again at this interval.
 CANCELLATION_REREAD_INTERVAL_S = 1.0  # s
--- a/winglift/model/cancellations.py
+++ b/winglift/model/cancellations.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -62,6 +63,10 @@
     state: CancellationState = CancellationState.OUTSTANDING
     notified: dict[str, float] = field(default_factory=dict)  # node: time of the next notification; inf: acknowledged
     delegated_to: tuple[str, int] | None = None  # node and term of the leader that enforces it
+    known_to: set[str] = field(default_factory=set)  # nodes whose present process has acknowledged it
+    is_known: bool = False  # whether all nodes have acknowledged it at some time
+    awaited_since: float | None = None  # since when a user waits to be told of it by this node
+    needs_proof: bool = False  # whether a user waits, and some node has not acknowledged it in time
 
     def move(self, event: CancellationEvent, now: float) -> CancellationState:
         """Apply an event and return the new state; an event that the state does not allow is ignored.
@@ -73,6 +78,12 @@
             self.state, self.state_since = new_state, now
         return new_state
 
+    def has_ended_on(self, report: worker_messages.Report) -> bool:
+        """Whether the report lists each attempt that may be on its machine as exited."""
+        exited = {(task.task, task.attempt) for task in report.tasks if task.phase is worker_messages.Phase.EXITED}
+        stops = self.stop_commands.get(report.machine, [])
+        return bool(stops) and all((stop.task, stop.attempt) in exited for stop in stops)
+
     def min_age_s(self, now: float) -> float:
         """Lower bound in s of the time since the commit, counted from when this node learned of the cancellation.
 
@@ -156,11 +167,14 @@
             cancellation = self.by_job.get(key[0]) if key is not None else None
             if cancellation is None or task_report.phase is worker_messages.Phase.EXITED:
                 continue
-            commands.append(worker_messages.halt_command(task_report.task, task_report.attempt, 0))
+            stop = worker_messages.halt_command(task_report.task, task_report.attempt, 0)
+            commands.append(stop)
             if report.machine not in cancellation.stop_commands:
                 # A start that was in flight took effect: the machine is no longer proven to hold none of its tasks.
                 cancellation.stop_commands[report.machine] = []
                 cancellation.move(CancellationEvent.TASK_SEEN, now)
+            if stop not in cancellation.stop_commands[report.machine]:
+                cancellation.stop_commands[report.machine].append(stop)
         return commands
 
     def on_probe_answer(
@@ -168,13 +182,15 @@
     ) -> list[worker_messages.Command]:
         """Apply the answer to a probe that this node sent at `sent_at`.
 
-        Returns the halt commands for the cancelled tasks that the answer still lists. A task that it does not list is
-        proven to have left the machine, unless its start could still have been in flight at `sent_at`.
+        Returns the halt commands for the cancelled tasks that the answer still lists. A task that it lists as exited
+        has left the machine: a start of that attempt has no effect there any more. So has a task that it does not list,
+        unless its start could still have been in flight at `sent_at`.
         """
         commands = self.on_report(report, now)
         listed_jobs = {command.task.partition("/")[0] for command in commands}
         for cancellation in self.for_machine(report.machine):
-            if cancellation.ref not in listed_jobs and cancellation.min_age_s(sent_at) >= self.settle_s:
+            is_settled = cancellation.min_age_s(sent_at) >= self.settle_s
+            if cancellation.ref not in listed_jobs and (is_settled or cancellation.has_ended_on(report)):
                 self.clear_machine(cancellation.ref, report.machine, now)
         return commands
 
@@ -214,12 +230,17 @@
             cancellation for cancellation in self.by_job.values() if cancellation.state is CancellationState.OUTSTANDING
         ]
 
-    def machines_to_delete(self, now: float, wall: float, rank: int, probe_wait_s: float) -> list[str]:
+    def machines_to_delete(
+        self, now: float, wall: float, rank: int, probe_wait_s: float, silent: Set[str] = frozenset()
+    ) -> list[str]:
         """The machines to delete because outstanding cancellations may still have tasks on them.
 
         `rank` is this node's position among the nodes that may delete: each waits longer than the one before it.
         A node that has just become responsible first probes the machines for `probe_wait_s`, except shortly before the
         deadline, when a deletion would otherwise come too late. `wall`: time of day.
+
+        While a user waits to be told and some node has not acknowledged the cancellation, machines that don't answer,
+        `silent`, are deleted at once: that node may keep the tasks alive.
         """
         names: dict[str, None] = {}  # used as an ordered set
         after_s = self.cancel_s * (constants.CANCELLATION_DELETE_SHARE + rank * constants.CANCELLATION_RANK_DELAY_SHARE)
@@ -232,6 +253,8 @@
             )
             if age > after_s and (late or now - cancellation.state_since > probe_wait_s):
                 names.update(dict.fromkeys(cancellation.stop_commands))
+            elif cancellation.needs_proof:
+                names.update(dict.fromkeys(name for name in cancellation.stop_commands if name in silent))
         return list(names)
 
     def prune(self, now: float) -> None:
--- a/winglift/node.py
+++ b/winglift/node.py
@@ -9,7 +9,7 @@
 
 from . import constants
 from .api.handlers import application
-from .api.jobs import Jobs, status_of
+from .api.jobs import Jobs
 from .api.report_fast_path import ReportFastPath
 from .cloud.client import CloudClient, CloudError
 from .cluster.peer_connections import PeerConnections
@@ -83,9 +83,9 @@
             self._on_peer_job_record,
             self._on_peer_state,
             self._on_peer_gone,
-            lambda peer: self.cancellation_enforcer.on_peer_connected(peer),
+            lambda peer: self.cancellation_enforcer.announcer.on_peer_connected(peer),
             lambda proofs: self.cancellation_enforcer.on_proofs(proofs),
-            lambda: self.cancellation_enforcer.on_peer_synchronized(),
+            lambda: self.cancellation_enforcer.announcer.on_peer_synchronized(),
         )
 
     def _new_jobs(self) -> Jobs:
@@ -96,6 +96,7 @@
             self._on_record_committed,
             lambda: self.withdrawn_types,
             self._on_record_reported,
+            self.cancellation_enforcer.announcer.wait_until_known,
         )
 
     def _may_change_cloud(self) -> bool:
@@ -126,14 +127,16 @@
         return self.reports.answer_forwarded(body)
 
     def _on_peer_job_record(self, note: peer_messages.RecordAnnouncement) -> int:
-        """Handle a committed record from a peer: 200 if handled as the leader, 202 if only stored."""
+        """Handle a committed record from a peer: 200 if handled as the leader, 202 if stored, else 503."""
         try:
             record = records.decode(note.record)
             self._apply_to_leader_term(note.ref, note.version, record)
-            self.cancellation_enforcer.add_record(note.ref, note.version, record)
+            is_stored = self.cancellation_enforcer.add_record(note.ref, note.version, record)
         except records.InvalidRecord as err:
             log.warning("job record: from a peer, unreadable: ref=%r error=%s", note.ref, err)
             return 400
+        if record.state == JobState.CANCELLED.value and record.assignments and not is_stored:
+            return 503  # not acknowledged: this node has no space for it, and would keep the tasks alive
         return 200 if self.handles_cancellation(note.ref) else 202
 
     def _on_record_reported(self, ref: str, version: int, record: records.JobRecord) -> None:
@@ -199,7 +202,6 @@
             self.peers.notify_leader(peer_messages.RecordAnnouncement(version, ref, records.encode(record)))
         # A cancellation with assigned tasks is sent to all nodes, and repeated to each until it acknowledges.
         self.cancellation_enforcer.add_record(ref, version, record)
-        self.jobs.cache_final_state(ref, status_of(record, ref))
 
     def unavailable_reason(self) -> str | None:
         """The reason why this node can't serve requests, or None if it can.
--- a/winglift/workers/cancellation_enforcement.py
+++ b/winglift/workers/cancellation_enforcement.py
@@ -17,16 +17,15 @@
 
 from .. import constants
 from ..cloud.client import CloudClient, CloudError
-from ..cluster.peer import Peer
 from ..cluster.peer_connections import PeerConnections
 from ..config.settings import Settings
 from ..model import records
 from ..model.cancellations import Cancellation, CancellationEvent, CancellationRegistry, CancellationState
-from ..model.synchronization import SyncEvent, Synchronization, SyncState
+from ..model.synchronization import SyncEvent
 from ..net.runtime import monotonic_time, wall_time
 from ..store.client import Health, OutcomeUnknown, RequestRejected, StateClient
-from ..wire import peer as peer_messages
 from ..wire import workers as worker_messages
+from .cancellation_announcements import CancellationAnnouncer, leader_and_term
 from .commands import send_direct_commands
 
 log = logging.getLogger(__name__)
@@ -78,6 +77,7 @@
     session: int
     reported_at: float
     commanded_at: float = -math.inf  # when stops were last sent to it
+    answered_at: float = -math.inf  # when it last answered any
 
 
 class CancellationEnforcer:
@@ -96,7 +96,7 @@
             cancel_s,
             int(params.state.write_rps * cancel_s * constants.CANCELLATION_HISTORY_RATIO),
         )
-        self.synchronization = Synchronization()
+        self.announcer = CancellationAnnouncer(node, self.cancellations)
         self.contacts: dict[str, MachineContact] = {}
         self._stops_in_flight: dict[str, asyncio.Task] = {}
         self._delete_task: asyncio.Task | None = None
@@ -111,52 +111,25 @@
     def add_record(self, ref: str, version: int, record: records.JobRecord) -> bool:
         """Process a committed record and return whether it is a cancellation that this node now enforces.
 
-        If the cancelled job has tasks assigned to machines, the cancellation is announced to the other nodes at once,
-        and confirmed to the user only after that.
+        If the cancelled job has tasks assigned to machines, the cancellation is announced to the other nodes at once.
+        A user is told only once `CancellationAnnouncer.is_known` holds.
         """
         now = monotonic_time()
         cancellation = self.cancellations.add_record(ref, version, record, now)
+        self.announcer.on_progress()
         if cancellation is None or cancellation.state is CancellationState.CONFIRMED:
             return cancellation is not None
-        self._announce(cancellation, now)
+        self.announcer.announce(cancellation, now)
         self._cancellation_added.set()
         return True
 
-    def on_peer_connected(self, node: str) -> None:
-        """Announce all cancellations to this node again: it may have restarted since it was last notified."""
-        for cancellation in self.cancellations.by_job.values():
-            cancellation.notified.pop(node, None)
-        self._announce_all(self.node.peers.by_node[node])
-
     def on_records_loaded(self) -> None:
         """Called when this node, as the leader, has passed all job records to `add_record`."""
-        self._synchronize(SyncEvent.RECORDS_LOADED)
-
-    def on_peer_synchronized(self) -> None:
-        """Called when a synchronized peer has announced all the cancellations that it enforces."""
-        self._synchronize(SyncEvent.PEER_SYNCHRONIZED)
+        self.announcer.synchronize(SyncEvent.RECORDS_LOADED)
 
     def is_synchronized(self) -> bool:
         """Whether this node knows all confirmed cancellations."""
-        return self.synchronization.state is SyncState.SYNCHRONIZED
-
-    def _synchronize(self, event: SyncEvent) -> None:
-        if self.synchronization.move(event):
-            log.info("cancellations: all confirmed ones are known: source=%s", event.name.lower())
-            for peer in self.node.peers.by_node.values():
-                self._announce_all(peer)
-
-    def _announce_all(self, peer: Peer) -> None:
-        """Announce all cancellations to a peer, and then that there are no others, if this node knows that.
-
-        Frames of one connection arrive in the order in which they were sent.
-        """
-        now = monotonic_time()
-        for cancellation in self.cancellations.by_job.values():
-            if cancellation.state is not CancellationState.CONFIRMED:
-                self._announce(cancellation, now)
-        if self.is_synchronized():
-            peer.send(peer_messages.FrameType.SYNCHRONIZED, b"")
+        return self.announcer.is_synchronized()
 
     def on_proofs(self, proofs: list[tuple[str, str]]) -> None:
         """Apply another node's proofs, each a job and a machine; the job is empty if the machine is deleted."""
@@ -166,6 +139,7 @@
                 self.cancellations.clear_machine(ref, machine, now, proven_by_peer=True)
             else:
                 self.cancellations.on_machine_deleted(machine, now, proven_by_peer=True)
+        self.announcer.on_progress()
         deleted = [machine for ref, machine in proofs if not ref]
         if deleted:
             self.node.on_machines_deleted(deleted)
@@ -175,8 +149,8 @@
         now = monotonic_time()
         contact = self.contacts.get(report.machine)
         if contact is None or contact.session <= report.session:
-            commanded_at = contact.commanded_at if contact is not None else -math.inf
-            self.contacts[report.machine] = MachineContact(report.addr, report.session, now, commanded_at)
+            times = (contact.commanded_at, contact.answered_at) if contact is not None else (-math.inf, -math.inf)
+            self.contacts[report.machine] = MachineContact(report.addr, report.session, now, *times)
         if now >= self._next_contact_sweep_at:
             self._next_contact_sweep_at = now + constants.MACHINE_ADDRESS_TTL_S / 4
             self.contacts = {
@@ -206,6 +180,7 @@
             if cancellation.state is not CancellationState.CONFIRMED:
                 self._announce_or_clear(cancellation, now)
         self._send_stops(now)
+        self.announcer.on_progress()
         machines = self._machines_to_delete(now, wall)
         if machines and (self._delete_task is None or self._delete_task.done()):
             self._delete_task = asyncio.ensure_future(self._delete(machines[: constants.MACHINES_PER_DELETION_MAX]))
@@ -215,40 +190,13 @@
         await self._reread(now, wall)
 
     def _announce_or_clear(self, cancellation: Cancellation, now: float) -> None:
-        self._announce(cancellation, now)
+        self.announcer.announce(cancellation, now)
         if self.node.has_stopped_all_tasks(cancellation.ref):
             self.cancellations.clear_job(cancellation.ref, now)
-        elif self._is_delegated(cancellation, now):
-            cancellation.move(CancellationEvent.DELEGATE, now)
-        else:
-            cancellation.move(CancellationEvent.DELEGATE_LOST, now)
-
-    def _announce(self, cancellation: Cancellation, now: float) -> None:
-        leader = self.node.peers.leader(now)
-        for name, peer in self.node.peers.by_node.items():
-            # A node that was notified before it became the leader has not taken the cancellation over yet.
-            leader_has_to_take_over = (
-                peer is leader
-                and cancellation.delegated_to != _leader_and_term(peer)
-                and cancellation.notified.get(name) == math.inf
-            )
-            if leader_has_to_take_over or cancellation.notified.get(name, -math.inf) <= now:
-                cancellation.notified[name] = now + constants.CANCELLATION_NOTIFY_INTERVAL_S
-                self.node.peers.announce_record(
-                    peer,
-                    peer_messages.RecordAnnouncement(cancellation.version, cancellation.ref, cancellation.record),
-                    lambda answer, peer=peer: self._on_announced(cancellation, peer, answer),  # type: ignore[misc]
-                )
-
-    def _on_announced(self, cancellation: Cancellation, peer: Peer, answer: tuple[int, bytes] | None) -> None:
-        if answer is None:
             return
-        if answer[0] == 200:
-            cancellation.delegated_to = _leader_and_term(peer)
-        # A leader that is not entitled to act yet is notified again. Any other node keeps the cancellation for as long
-        # as its process runs.
-        if answer[0] == 200 or peer is not self.node.peers.leader(monotonic_time()):
-            cancellation.notified[peer.seed.node] = math.inf
+        self._update_need_of_proof(cancellation, now)
+        is_delegated = not cancellation.needs_proof and self._is_delegated(cancellation, now)
+        cancellation.move(CancellationEvent.DELEGATE if is_delegated else CancellationEvent.DELEGATE_LOST, now)
 
     def _is_delegated(self, cancellation: Cancellation, now: float) -> bool:
         """Whether a leader enforces it: a reachable one that has taken it over, or one that the state service names.
@@ -259,11 +207,45 @@
         if self.node.handles_cancellation(cancellation.ref):
             return True
         leader = self.node.peers.leader(now)
-        if leader is not None and cancellation.delegated_to == _leader_and_term(leader):
+        if leader is not None and cancellation.delegated_to == leader_and_term(leader):
             return True
         recorded_leader = self.node.recorded_leader_name()
         return self.node.state.health() is Health.GOOD and recorded_leader not in ("", self.node.settings.node)
 
+    def _update_need_of_proof(self, cancellation: Cancellation, now: float) -> None:
+        """Note whether a user waits to be told, and some node has not acknowledged the cancellation in time.
+
+        That node may be cut off and keep the tasks alive, so they must be proven off before users are told.
+        """
+        needs_proof = (
+            cancellation.awaited_since is not None
+            and now - cancellation.awaited_since > constants.CANCELLATION_ACKNOWLEDGEMENT_TIMEOUT_S
+            and not self.announcer.is_known(cancellation.ref)
+        )
+        if needs_proof and not cancellation.needs_proof:
+            nodes = " ".join(peer.seed.node for peer in self.announcer.nodes_without(cancellation))
+            log.info(
+                "cancellation: not acknowledged, so its tasks are stopped first: job=%s nodes=%s",
+                cancellation.ref,
+                nodes,
+            )
+        cancellation.needs_proof = needs_proof
+
+    def _silent_machines(self, now: float) -> set[str]:
+        """The machines that don't answer, or have no known address, while a cancellation needs a proof."""
+        silent = set()
+        for cancellation in self.cancellations.outstanding():
+            for machine in cancellation.stop_commands if cancellation.needs_proof else ():
+                contact = self.contacts.get(machine)
+                if contact is None:
+                    is_silent = now - cancellation.state_since > constants.CANCELLATION_ADDRESS_TIMEOUT_S
+                else:
+                    unanswered_s = now - contact.commanded_at if contact.answered_at < contact.commanded_at else 0.0
+                    is_silent = unanswered_s > constants.CANCELLATION_ANSWER_TIMEOUT_S
+                if is_silent:
+                    silent.add(machine)
+        return silent
+
     def _send_stops(self, now: float) -> None:
         """Send stop commands to the machines of outstanding cancellations.
 
@@ -321,6 +303,7 @@
                 await self._send_stop_commands(machine, contact.addr, token, report.session, remaining)
         finally:
             self._stops_in_flight.pop(machine, None)
+            self.announcer.on_progress()
 
     def _command_token(self) -> int:
         """The token of direct commands; provisional while other cancellations may be unknown."""
@@ -340,13 +323,19 @@
         report = await send_direct_commands(addr, token, session, stop_commands)
         if report is None or report.machine != machine:
             return [], None
+        if (contact := self.contacts.get(machine)) is not None:
+            contact.answered_at = monotonic_time()
         return self.cancellations.on_probe_answer(report, sent_at, monotonic_time()), report
 
     def _machines_to_delete(self, now: float, wall: float) -> list[str]:
         own_name, peers = self.node.settings.node, self.node.peers.by_node.items()
         rank = sum(name < own_name and peer.fresh(now) for name, peer in peers)
         return self.cancellations.machines_to_delete(
-            now, wall, rank, constants.CANCELLATION_REPORT_WAIT_RATIO * self.node.settings.settings.workers.report_s
+            now,
+            wall,
+            rank,
+            constants.CANCELLATION_REPORT_WAIT_RATIO * self.node.settings.settings.workers.report_s,
+            self._silent_machines(now),
         )
 
     def may_delete(self, names: list[str]) -> bool:
@@ -367,6 +356,7 @@
         now = monotonic_time()
         for name in names:
             self.cancellations.on_machine_deleted(name, now)
+        self.announcer.on_progress()
         self.node.on_machines_deleted(names)
 
     async def _reread(self, now: float, wall: float) -> None:
@@ -394,7 +384,3 @@
                 )
         except (RequestRejected, OutcomeUnknown, records.InvalidRecord) as err:
             log.debug("cancellation: record not read: job=%s error=%s", cancellation.ref, err)
-
-
-def _leader_and_term(peer: Peer) -> tuple[str, int]:
-    return peer.seed.node, peer.last_state.term if peer.last_state is not None else 0
