Every refusal of a submission looks for the job's record first

Cause: Jobs.submit checked the length of the record before it looked whether the job is known. The record holds the time of day, whose digits vary from one request to the next, so near the limit the same job is now accepted, now refused. The same check failed on a related path: with a smaller value_kb than at the acceptance.

Change: what can refuse a job (types, team, limit, length) is one function, and its error is raised only after a read of the record. Types, team and limit did so before. parse_submission depends on the body alone.

Left as it is: near the limit it still depends on the time of day whether a new job is accepted.

--- a/winglift/api/jobs.py
+++ b/winglift/api/jobs.py
@@ -155,34 +155,35 @@
         final = self._final_states.get(spec.ref)
         if final is not None:
             return 200, final
-        known = await self._check_feasible(spec)
-        if known is not None:
-            return 200, known
         record = records.new_record(spec, wall_time())
-        if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * constants.NEW_RECORD_SIZE_SHARE:
-            raise Unschedulable("the description is too long to be kept")
-        return await self._commit_new(spec.ref, record)
+        # Whether it is refused is decided once, before the read: when the machine types arrived during the read, a job
+        # that could run was refused with 422.
+        refusal = self._refusal(record)
+        if refusal is None:
+            return await self._commit_new(spec.ref, record)
+        # It may repeat a job that was accepted when types, settings or the time of day in the record were others.
+        known = await self.status(spec.ref)
+        if known is None:
+            raise refusal
+        return 200, known
 
-    async def _check_feasible(self, spec: Submission) -> StatusReply | None:
-        """Check that the job can run. Returns the reply of a job that seems impossible but was accepted before.
+    def _refusal(self, record: records.JobRecord) -> JobRequestError | None:
+        """The error for a job that can't be accepted unless it was accepted before; None if it can be.
 
-        Raises Unschedulable, or TemporarilyUnavailable while the machine types are not known.
+        It depends on more than the submission, so it is raised only after a look for the job's record.
         """
-        types = self.types()
-        # A submission that seems impossible may repeat a job that was accepted before: its record is read before a 422.
-        # Whether the types are known is decided once, before that read: when they arrived during it, a job that could
-        # run was refused with 422.
-        types_unknown = not types
-        reason = "machine types are not known yet" if types_unknown else infeasible_reason(spec, self.settings, types)
-        if reason is None:
-            return None
-        known = await self.status(spec.ref)
-        if known is not None:
-            return known
-        if not types_unknown and infeasible_reason(spec, self.settings, types | self.withdrawn_types()) is None:
-            # The cloud's list of types may be incomplete for a short time, and a refusal with 422 is final.
-            raise TemporarilyUnavailable("the only machine type that it fits is not offered now")
-        raise TemporarilyUnavailable(reason) if types_unknown else Unschedulable(reason)
+        spec, types = record.spec, self.types()
+        if not types:
+            return TemporarilyUnavailable("machine types are not known yet")
+        reason = infeasible_reason(spec, self.settings, types)
+        if reason is not None:
+            if infeasible_reason(spec, self.settings, types | self.withdrawn_types()) is None:
+                # The cloud's list of types may be incomplete for a short time, and a refusal with 422 is final.
+                return TemporarilyUnavailable("the only machine type that it fits is not offered now")
+            return Unschedulable(reason)
+        if len(encode(record)) > self.settings.settings.state.value_kb * 1024 * constants.NEW_RECORD_SIZE_SHARE:
+            return Unschedulable("the description is too long to be kept")
+        return None
 
     async def _commit_new(self, ref: str, record: records.JobRecord) -> tuple[int, StatusReply]:
         """Commit the record of a new job: 201, or 200 if a record of it exists. Raises TemporarilyUnavailable."""
