A worker forgets an attempt only after each answer with its start is too old

Here starts go only into answers to reports. What forbids a copy (PROTOCOL): "It reports to a single node at a time, with one report in flight at a time"; "Commands in a report response are not executed late, since the worker drops responses after 4 s"; "A response with a lower token, or with none, is dropped"; "Responses to reports from an earlier session are dropped". A second arrival within the 4 s is forbidden only by a request having one answer.

Change: no reap of an attempt until 5 s after its start was last sent. A worker ignores the start of an attempt that it has in any state, so a copy has no effect. Another leader's starts have a lower token than its reap.

--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -60,6 +60,7 @@
 
 # --- workers ----------------------------------------------------------------------------------
 COMMAND_TIMEOUT_S = 2.0  # s; a direct command that takes longer is repeated in the answer to the next report
+START_ARRIVAL_MAX_S = 5.0  # s until a start that was sent can no longer arrive: workers drop answers after 4 s
 FORWARD_CHECK_INTERVAL_S = 0.25  # s between two checks for forwarded reports that timed out
 FORWARD_TIMEOUT_S = 1.0  # s; timeout of a report forwarded to the leader; workers wait 4 s
 REDIRECT_RETURN_WINDOW_S = 12.0  # s; a worker that returns this soon after a redirect can't reach the leader
--- a/winglift/model/entities.py
+++ b/winglift/model/entities.py
@@ -276,12 +276,23 @@
     # Attempt of each task that runs on it without being assigned to it in any record.
     unknown_tasks: dict[tuple[str, int], int] = field(default_factory=dict)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)  # cached images: size in GB, latest used last
+    # When the start of an attempt (job, task number, attempt) was last sent to it, if the answer may still arrive.
+    start_sent_at: dict[tuple[str, int, int], float] = field(default_factory=dict)
     # Number of failed tasks per job since a task last completed on the machine.
     attributed_failures: dict[Job, int] = field(default_factory=dict)
     idle_since: float | None = None
     drain_reason: str = ""
     _usage: MachineUsage | None = None
 
+    def forget_old_starts(self, now: float) -> None:
+        """Forget the starts that were sent so long ago that the worker drops the answers which hold them."""
+        if self.start_sent_at:
+            self.start_sent_at = {
+                attempt: sent_at
+                for attempt, sent_at in self.start_sent_at.items()
+                if now - sent_at < constants.START_ARRIVAL_MAX_S
+            }
+
     def invalidate_usage(self) -> None:
         """Discard the cached usage. Every function that changes the machine's tasks or images calls this."""
         self._usage = None
--- a/winglift/model/report_reconciliation.py
+++ b/winglift/model/report_reconciliation.py
@@ -58,7 +58,7 @@
     # that session's reports.
     if not direct or new_session:
         _reconcile_absent_tasks(cluster, machine, report, listed, now, direct)
-    commands += _commands_for_exited_tasks(cluster, machine, report)
+    commands += _commands_for_exited_tasks(cluster, machine, report, now)
     return commands
 
 
@@ -184,15 +184,21 @@
 
 
 def _commands_for_exited_tasks(
-    cluster: ClusterState, machine: Machine, report: worker_messages.Report
+    cluster: ClusterState, machine: Machine, report: worker_messages.Report, now: float
 ) -> list[worker_messages.Command]:
-    """The `reap_command` commands for the exited tasks in a report whose exits are recorded."""
+    """The `reap_command` commands for the exited tasks in a report whose exits are recorded.
+
+    A worker ignores the start of an attempt that it still lists, and starts it again once it has forgotten it. So it
+    may forget an attempt only when it drops every answer that holds the start.
+    """
     commands: list[worker_messages.Command] = []
+    machine.forget_old_starts(now)
     for task_report in report.tasks:
         key = task_report.key()
         if (
             key is not None
             and task_report.phase is worker_messages.Phase.EXITED
+            and (*key, task_report.attempt) not in machine.start_sent_at
             and _may_remove_exited(cluster, key, machine, task_report.attempt)
         ):
             commands.append(worker_messages.reap_command(task_report.task, task_report.attempt))
@@ -288,6 +294,7 @@
         elif task.state is TaskState.COMMITTED and task.job.is_open and machine.accepts_tasks:
             commands.append(worker_messages.run_command(task.name, task.attempt))
             task.sent_session, task.sent_seq = report.session, report.seq
+            machine.start_sent_at[task.job.ref, task.index, task.attempt] = now
             task.move(TaskEvent.SEND, now)
     return commands
 
