--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -18,10 +18,8 @@
 class RestartedNodes:
     """Long tasks on machines of both zones; some machines lose the network while their jobs are cancelled."""
 
-    def __init__(self, seed: int = 0, report_s: float = 1.0) -> None:
-        self.simulation = simulation = Simulation(
-            3, seed, boot_s=6.0, cloud_list_lag_s=3.0, run_s=500.0, report_s=report_s
-        )
+    def __init__(self, seed: int = 0) -> None:
+        self.simulation = simulation = Simulation(3, seed, boot_s=6.0, cloud_list_lag_s=3.0, run_s=500.0)
         simulation.net.loss = 0.0
         simulation.start_all()
         simulation.loop.run(3.0)
