--- a/tests/test_restart_in_outage.py
+++ b/tests/test_restart_in_outage.py
@@ -56,6 +56,13 @@
             self.simulation.crash(f"node-{number}")
             self.simulation.later(back_s, self.simulation.start, number)
 
+    def end_outage_and_check(self, after_s: float) -> None:
+        """End the state service's outage after some time, and check the rules."""
+        self.run(after_s)
+        self.simulation.state.down = False
+        self.run(5.0)
+        self.check_rules()
+
     def check_rules(self) -> None:
         """Check the rules, and that the deployment runs a new job."""
         simulation = self.simulation
@@ -89,10 +96,7 @@
     nodes.run(4.0)
     for cut in cuts:
         nodes.simulation.net.heal(cut)
-    nodes.run(OUTAGE_S)
-    nodes.simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S)
 
 
 @pytest.mark.parametrize("again_s", [6.0, 9.0, 14.0])
@@ -111,10 +115,7 @@
         nodes.run(again_s)
         nodes.restart_nodes(0, 1, 2)
         nodes.run(3.5)
-    nodes.run(OUTAGE_S)
-    nodes.simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S)
 
 
 @pytest.mark.parametrize("unread", ["GET /store", "GET /store/duty"])
@@ -134,10 +135,7 @@
     nodes.run(1.0)
     simulation.state.down = True
     simulation.net.watch = lambda message: None
-    nodes.run(OUTAGE_S)
-    simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S)
 
 
 @pytest.mark.parametrize("survivor", [0, 1, 2])
@@ -179,10 +177,7 @@
     nodes.run(1.0)
     for cut in cuts:
         nodes.simulation.net.heal(cut)
-    nodes.run(OUTAGE_S)
-    nodes.simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S)
 
 
 @pytest.mark.parametrize("outage_s", [0.0, 5.0, 12.0, 20.0])
@@ -252,10 +247,7 @@
     nodes.run(4.0 if reconnects else OUTAGE_S)
     for cut in cuts:
         simulation.net.heal(cut)
-    nodes.run(OUTAGE_S if reconnects else 0.0)
-    simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S if reconnects else 0.0)
 
 
 def test_users_get_503_from_processes_that_have_read_nothing():
--- a/tests/test_unaware_nodes.py
+++ b/tests/test_unaware_nodes.py
@@ -75,10 +75,7 @@
     nodes.end_those_who_know()
     nodes.run(4.0 if back else OUTAGE_S)
     nodes.heal(cuts)
-    nodes.run(OUTAGE_S if back else 0.0)
-    nodes.simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S if back else 0.0)
 
 
 @pytest.mark.parametrize("leads", [False, True])
@@ -92,10 +89,7 @@
     nodes.run(1.0)
     nodes.cancel_as_users_do()
     nodes.end_those_who_know()
-    nodes.run(OUTAGE_S)
-    nodes.simulation.state.down = False
-    nodes.run(5.0)
-    nodes.check_rules()
+    nodes.end_outage_and_check(OUTAGE_S)
 
 
 @pytest.mark.parametrize("path", ["cancellation", "status", "submission"])
