--- a/standins/history.py
+++ b/standins/history.py
@@ -28,6 +28,11 @@
     status: str = ""  # of the job
 
 
+def acceptance_time(answers: Iterable[UserAnswer]) -> float:
+    """When a user was first told, by any answer about a job, that it is accepted; infinity if never."""
+    return min((answer.answered_at for answer in answers if answer.code in (200, 201)), default=math.inf)
+
+
 def contradictions(history: list[UserAnswer]) -> list[str]:
     """Answers that contradict one that a user had received before asking.
 
@@ -39,14 +44,14 @@
         by_job[answer.ref].append(answer)
     for ref, answers in by_job.items():
         successful = [a for a in answers if a.code in (200, 201)]
-        accepted_at = min((a.answered_at for a in successful), default=None)
+        accepted_at = acceptance_time(answers)
         final_answers = [a for a in successful if a.status in FINAL_STATUSES]
         if len({a.status for a in final_answers}) > 1:
             violations.append(f"{ref}: two final statuses reported: {sorted({a.status for a in final_answers})}")
         ended_at = min((a.answered_at for a in final_answers), default=None)
         cancel_asked_at = min((a.asked_at for a in answers if a.request_type == "cancel"), default=None)
         for a in answers:
-            if accepted_at is not None and a.asked_at > accepted_at and a.code in (400, 404, 422):
+            if a.asked_at > accepted_at and a.code in (400, 404, 422):
                 violations.append(
                     f"{ref}: {a.code} for a {a.request_type} at {a.asked_at:.2f}, accepted at {accepted_at:.2f}"
                 )
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -18,7 +18,7 @@
 
 from . import cloud, state
 from .__main__ import TEMPLATE
-from .history import Job, TaskOnMachine, UserAnswer, done_violations, start_violations
+from .history import Job, TaskOnMachine, UserAnswer, acceptance_time, done_violations, start_violations
 from .network import Host, Network
 from .worker import ON_MACHINE, Worker
 
@@ -210,7 +210,7 @@
         if status != 404 or (method, path) == ("POST", "/work"):
             return status in (400, 404, 422)
         ref = path.split("/")[2]
-        return any(a.ref == ref and a.code in (200, 201) and a.answered_at <= asked for a in self.history)
+        return acceptance_time(answer for answer in self.history if answer.ref == ref) <= asked
 
     async def _ask_once(self, address: str, method: str, path: str, body: dict[str, Any] | None) -> Reply | None:
         """Send a request to one node, without a retry, and add the answer to the history."""
