--- a/tests/test_unaware_nodes.py
+++ b/tests/test_unaware_nodes.py
@@ -9,7 +9,7 @@
 import pytest
 from test_restart_in_outage import OUTAGE_S, RestartedNodes
 
-from standins.network import Cut
+from standins.network import Cut, Message
 from standins.simulation import CANCEL_S
 
 UNAWARE = "node-1"  # the only node of zone b
@@ -163,3 +163,26 @@
     nodes.run(3.0)
     assert machines == set(nodes.simulation.cloud.machines) and nodes.placements() == before
     nodes.check_rules()
+
+
+def test_a_node_that_stood_still_deletes_no_machine_whose_answer_it_has_not_read_yet():
+    """Guards against a pause, or a long planning cycle, that passes for the silence of healthy machines."""
+    nodes = UnawareNode(27)
+    simulation = nodes.simulation
+    machines = set(simulation.cloud.machines)
+    nodes.restart_nodes(1, back_s=20.0)
+    nodes.run(1.0)
+    host = simulation.nodes["node-0"][0]
+
+    def pause(message: Message) -> None:
+        if message.source.startswith("vm-") and message.target == "node-0" and "/commands" in message.what:
+            simulation.net.watch = lambda message: None
+            host.suspend()
+            simulation.later(2.0, host.resume)
+
+    simulation.net.watch = pause
+    for ref in nodes.cancelled:
+        simulation.send_once(0, "POST", f"/work/{ref}/abort", {})
+    nodes.run(6.0)
+    assert host.suspended_callbacks is None and not any(simulation.on_machines(ref) for ref in nodes.cancelled)
+    assert machines == set(simulation.cloud.machines)
--- a/winglift/constants.py
+++ b/winglift/constants.py
@@ -122,6 +122,7 @@
 # Delay after which the next node in rank deletes what the node before it may have deleted.
 CANCELLATION_RANK_DELAY_SHARE = 0.06  # of cancel_s
 CANCELLATION_CHECK_INTERVAL_S = 0.25  # s between two checks of the cancellations to be enforced
+CANCELLATION_CHECK_LATE_RATIO = 2.0  # of that interval; a check that comes later shows that the process was paused
 CANCELLATION_NOTIFY_INTERVAL_S = 1.0  # s until a cancellation is sent again to a node that did not acknowledge it
 CANCELLATION_PROBE_INTERVAL_S = 2.0  # s between two probes of a machine for whether a cancelled task has left it
 # A cancellation that not all nodes acknowledge within this time is told to its user only once its tasks are proven off.
--- a/winglift/workers/cancellation_enforcement.py
+++ b/winglift/workers/cancellation_enforcement.py
@@ -104,6 +104,8 @@
         self._next_list_at = 0.0
         self._cancellation_added = asyncio.Event()
         self._next_contact_sweep_at = 0.0
+        self._checked_at = -math.inf  # when the cancellations were last checked
+        self._on_time_since = math.inf  # since when each check has come on time
         self._next_reread_at = 0.0
 
     # -- events --------------------------------------------------------------------------------
@@ -175,7 +177,14 @@
                 log.exception("cancellations: fault in enforcing them")
             await asyncio.sleep(constants.CANCELLATION_CHECK_INTERVAL_S)
 
+    def _note_check(self, now: float) -> None:
+        """Note whether this check comes on time: after a pause, answers that came meanwhile are still unread."""
+        if now - self._checked_at > constants.CANCELLATION_CHECK_LATE_RATIO * constants.CANCELLATION_CHECK_INTERVAL_S:
+            self._on_time_since = now
+        self._checked_at = now
+
     async def _enforce(self, now: float, wall: float) -> None:
+        self._note_check(now)
         for cancellation in list(self.cancellations.by_job.values()):
             if cancellation.state is not CancellationState.CONFIRMED:
                 self._announce_or_clear(cancellation, now)
@@ -232,16 +241,21 @@
         cancellation.needs_proof = needs_proof
 
     def _silent_machines(self, now: float) -> set[str]:
-        """The machines that don't answer, or have no known address, while a cancellation needs a proof."""
+        """The machines that don't answer, or have no known address, while a cancellation needs a proof.
+
+        Time counts only while this node has checked regularly.
+        """
         silent = set()
         for cancellation in self.cancellations.outstanding():
             for machine in cancellation.stop_commands if cancellation.needs_proof else ():
                 contact = self.contacts.get(machine)
                 if contact is None:
-                    is_silent = now - cancellation.state_since > constants.CANCELLATION_ADDRESS_TIMEOUT_S
+                    silent_s = now - max(cancellation.state_since, self._on_time_since)
+                    is_silent = silent_s > constants.CANCELLATION_ADDRESS_TIMEOUT_S
                 else:
-                    unanswered_s = now - contact.commanded_at if contact.answered_at < contact.commanded_at else 0.0
-                    is_silent = unanswered_s > constants.CANCELLATION_ANSWER_TIMEOUT_S
+                    silent_s = now - max(contact.commanded_at, self._on_time_since)
+                    is_unanswered = contact.answered_at < contact.commanded_at
+                    is_silent = is_unanswered and silent_s > constants.CANCELLATION_ANSWER_TIMEOUT_S
                 if is_silent:
                     silent.add(machine)
         return silent
